Let few proxies share a backend: even windows by weight, from the size of the fleet

Each of 14 proxies sent to all 60 backends, 1.2 requests a second to each, so its own requests in flight told it a fourteenth of the load there.

Ruled out by the trace: bad backends (medians 26 to 73 ms, errors at eight of them only), the event loop (1 ms late), discovery.

At fault: RiqBalancer.PROXIES_EACH (40 proxies a backend), and windows that start by the golden section, so that with few proxies a backend some are in one window more than others.

Now a window holds 12 backends at least (small fleets draw from all, as before), two proxies a backend where there are more, and starts evenly by weight, its outer backends in part.

--- a/src/main/java/dockrelay/RiqBalancer.java
+++ b/src/main/java/dockrelay/RiqBalancer.java
@@ -18,13 +18,16 @@
 public final class RiqBalancer implements Balancer {
     /** d: backends drawn. Three find a lightly used one more often than two; more pass over cold ones. */
     private static final int SAMPLE = 3;
-    /** Proxies with a backend in their window, and backends in one: all-to-all connections run out. */
-    private static final double PROXIES_EACH = 40;
-    private static final double WINDOW_LEAST = 8;
+    /**
+     * Proxies with a backend in their window. A proxy knows no load but its own: the fewer share a backend,
+     * the more that tells of the whole. Still a window holds some backends, so that a few bad ones do not
+     * matter, unless too many proxies shared each: all-to-all connections run out.
+     */
+    private static final double PROXIES_EACH = 2;
+    private static final double PROXIES_MOST = 35;
+    private static final double WINDOW_LEAST = 12;
     /** Backends looked at when none of the drawn could be used. */
     private static final int LAST_RESORT = 64;
-    /** The golden section spreads the windows of any run of proxies evenly. */
-    private static final double GOLDEN = 0.6180339887498949;
     /** Draws tried for each sampled backend before settling for fewer: bounds the work of a request. */
     private static final int DRAW_TRIES = 6;
     /** Overdue is so far past the median: where work varies widely, not every long one is hedged. */
@@ -145,6 +148,7 @@
         final List<Node> ready = new ArrayList<>();
         double mostWeight;
         int from, window;
+        double firstPart = 1, lastPart = 1; // of the window's outer ones: the rest of them is the neighbours'
         double shed; // its own where the class is bound; the unknown class keeps that of all others
         double median, deviation;
         double floor = Double.MAX_VALUE;
@@ -159,6 +163,11 @@
         Node at(int index) {
             return ready.get((from + index) % ready.size());
         }
+
+        /** How much of one of the window's backends is this window's. */
+        double part(int index) {
+            return index == 0 ? firstPart : index == window - 1 ? lastPart : 1;
+        }
     }
 
     /** A tenant's part of its share at this proxy, as a bucket of requests. */
@@ -334,16 +343,33 @@
     }
 
     /**
-     * This proxy's window: a run of the backends, ordered alike at all proxies, that holds enough warm ones.
-     * Proxies start evenly along that order, so that each backend is in as many windows as any other.
+     * This proxy's window: its run of the backends, in an order and by weights that all proxies see alike.
+     * Runs of the same length start evenly, so that all backends are in as many as each other, the outer ones
+     * in part. Where backends are cold it goes on until it holds as much as if all were warm.
      */
     private void chooseWindow(long now, ServiceState service) {
         int count = service.ready.size();
-        double wanted = Math.max(WINDOW_LEAST, PROXIES_EACH * count / settings.proxies());
-        service.from = (int) (settings.me() * GOLDEN % 1 * count);
+        double weight = service.ready.stream().mapToDouble(node -> node.weight).sum();
+        double start = weight * settings.me() / settings.proxies();
+        service.from = 0;
+        while (service.from < count - 1 && start >= service.at(0).weight) {
+            start -= service.at(0).weight;
+            service.from++;
+        }
+        double least = Math.min(PROXIES_MOST, WINDOW_LEAST * settings.proxies() / count);
+        // A whole number, as between two of them some backends would be in one window more than others.
+        double wanted = weight * Math.ceil(Math.max(least, PROXIES_EACH)) / settings.proxies();
+        service.firstPart = count == 0 ? 1 : 1 - start / service.at(0).weight;
+        service.lastPart = 1;
         service.window = 0;
         while (service.window < count && wanted > 0) {
-            wanted -= warmth(now, service.at(service.window++));
+            Node node = service.at(service.window);
+            double held = node.weight * warmth(now, node) * (service.window++ == 0 ? service.firstPart : 1);
+            service.lastPart = Math.min(1, wanted / held);
+            wanted -= held;
+        }
+        if (service.window == count) {
+            service.firstPart = service.lastPart = 1; // all of them
         }
     }
 
@@ -512,9 +538,10 @@
         int count = 0;
         ServiceState pool = p.service;
         for (int i = 0; i < SAMPLE * DRAW_TRIES && count < SAMPLE && pool.window > 0; i++) {
-            Node node = pool.at(below(pool.window));
+            int index = below(pool.window);
+            Node node = pool.at(index);
             boolean again = count > 0 && drawn[0] == node || count > 1 && drawn[1] == node;
-            if (!again && usable(now, p, node) && accepted(now, p, node, warmOnly)) {
+            if (!again && usable(now, p, node) && accepted(now, p, node, pool.part(index), warmOnly)) {
                 drawn[count++] = node;
             }
         }
@@ -538,8 +565,8 @@
     }
 
     /** Thins the draw by size and warmth: all proxies together send a cold backend its part only. */
-    private boolean accepted(long now, Pending p, Node node, boolean warmOnly) {
-        double share = node.weight / p.service.mostWeight;
+    private boolean accepted(long now, Pending p, Node node, double part, boolean warmOnly) {
+        double share = part * node.weight / p.service.mostWeight;
         if (cold(now, node)) {
             if (warmOnly) {
                 return false;
--- a/src/test/java/dockrelay/TroublesTest.java
+++ b/src/test/java/dockrelay/TroublesTest.java
@@ -503,6 +503,32 @@
         }
     }
 
+    /** What one proxy sends to a backend tells it little of the load there where all proxies send there. */
+    @Test
+    void fewProxiesShareABackendAndEachBackendGetsItsPart() {
+        for (int proxies : new int[] {14, 25}) {
+            int backends = proxies * 5;
+            java.util.Map<Long, Integer> proxiesAt = new java.util.TreeMap<>();
+            java.util.Map<Long, Integer> sentTo = new java.util.TreeMap<>();
+            for (int me = 0; me < proxies; me++) {
+                Host host = proxy(me, proxies, backends);
+                java.util.Set<Long> used = new java.util.TreeSet<>();
+                for (int i = 0; i < 1_000; i++) {
+                    host.easy("r" + i, "unsafe");
+                    used.addAll(host.sentTo("r" + i));
+                    host.sentTo("r" + i).forEach(id -> sentTo.merge(id, 1, Integer::sum));
+                }
+                used.forEach(id -> proxiesAt.merge(id, 1, Integer::sum));
+            }
+            assertEquals(backends, sentTo.size());
+            int even = 1_000 * proxies / backends;
+            sentTo.forEach((id, sent) -> {
+                assertTrue(proxiesAt.get(id) <= 4, proxiesAt + " proxies at the backends");
+                assertTrue(sent > 0.7 * even && sent < 1.3 * even, "even is " + even + ": " + sentTo);
+            });
+        }
+    }
+
     @Test
     void aProxyWhoseWholeWindowIsDownUsesTheNextBackends() {
         Host host = proxy(0, 300, 60);
