--- a/src/main/java/dockrelay/proxy/WarmUp.java
+++ b/src/main/java/dockrelay/proxy/WarmUp.java
@@ -44,8 +44,8 @@
  * Guards against the first seconds of service: unloaded classes and interpreted code took whole cores then.
  */
 final class WarmUp {
-    /** Well past the light compiler's threshold for what each request runs through. */
-    private static final int REQUESTS = 1_500;
+    /** Past the light compiler's threshold (200 calls) for what each request runs through, and no more. */
+    static final int REQUESTS = 400;
     private static final int CLIENTS = 8;
     private static final int BACKENDS = 8;
     private static final long MOST_MILLIS = 3_000;
