Draw four backends, and up to seven while none of them is idle

A draw of five or more each time was not taken: it leaves no request to a new backend, which counts busy until it is heard of (two tests fail), and none to another zone. Four, and more only while none is idle and none of them new, keeps both.

At fault: RiqBalancer.SAMPLE (3) and draw(), which settled for it.

--- a/src/main/java/dockrelay/RiqBalancer.java
+++ b/src/main/java/dockrelay/RiqBalancer.java
@@ -16,8 +16,9 @@
  * Every departure from it is commented with what it guards against.
  */
 public final class RiqBalancer implements Balancer {
-    /** d: backends drawn. Three find a lightly used one more often than two; more pass over cold ones. */
-    private static final int SAMPLE = 3;
+    /** d: backends drawn, and the most while none is idle: to queue where others are idle costs most. */
+    private static final int SAMPLE = 4;
+    private static final int SAMPLE_MOST = 7;
     /**
      * Proxies with a backend in their window. A proxy knows no load but its own: the fewer share a backend,
      * the more that tells of the whole. Still a window holds some backends, so that a few bad ones do not
@@ -126,7 +127,7 @@
     private final Map<String, Pending> pending = new HashMap<>();
     private final Map<Long, Pending> timers = new HashMap<>();
     private final List<ServiceState> all = new ArrayList<>(); // the unknown class first: it is open to all
-    private final Node[] drawn = new Node[SAMPLE];
+    private final Node[] drawn = new Node[SAMPLE_MOST];
     private final ServiceState unknown;
     private final double meanAim;
     private long random;
@@ -535,16 +536,22 @@
         return little && !queued && node.overdue == 0 && node.heard && (node.badness < BAD_BUSY || trial);
     }
 
-    /** Draws up to SAMPLE distinct usable backends into drawn, and returns how many. */
+    /** Draws SAMPLE distinct usable backends into drawn, more while none is idle, and returns how many. */
     private int draw(long now, Pending p, boolean warmOnly) {
         int count = 0;
+        boolean enough = false;
         ServiceState pool = p.service;
-        for (int i = 0; i < SAMPLE * DRAW_TRIES && count < SAMPLE && pool.window > 0; i++) {
+        for (int i = 0; i < SAMPLE_MOST * DRAW_TRIES && pool.window > 0
+            && count < (enough ? SAMPLE : SAMPLE_MOST); i++) {
             int index = below(pool.window);
             Node node = pool.at(index);
-            boolean again = count > 0 && drawn[0] == node || count > 1 && drawn[1] == node;
+            boolean again = false;
+            for (int j = 0; j < count; j++) {
+                again |= drawn[j] == node;
+            }
             if (!again && usable(now, p, node) && accepted(now, p, node, pool.part(index), warmOnly)) {
                 drawn[count++] = node;
+                enough |= idle(now, node) || !node.heard; // a new one is heard of where none is idle
             }
         }
         if (count > 0) {
--- a/src/test/java/dockrelay/OrdinaryPathTest.java
+++ b/src/test/java/dockrelay/OrdinaryPathTest.java
@@ -124,6 +124,20 @@
         assertEquals(1, host.sentTo("d").size(), "none idle: one random send within the sample");
     }
 
+    @Test
+    void theDrawGoesOnWhileNoneOfTheDrawnIsIdle() {
+        for (int round = 0; round < 20; round++) {
+            Host host = Host.usual().fleet(7);
+            host.warmUp(100 + round);
+            Set<Long> used = new TreeSet<>();
+            for (int i = 0; i < 7; i++) {
+                host.request("d" + i, "unsafe");
+                used.addAll(host.sentTo("d" + i));
+            }
+            assertEquals(7, used.size(), "each goes to one that is idle: " + used);
+        }
+    }
+
     @Test
     void aBackendNotHeardFromSinceItsStartCountsBusy() {
         Host host = Host.usual().fleet(2);
