--- a/src/main/java/dockrelay/RiqBalancer.java
+++ b/src/main/java/dockrelay/RiqBalancer.java
@@ -111,6 +111,8 @@
     private static final double COLD_SAVED = 2;
     /** It is drawn this much more often than its least warmth tells, as most warm up sooner. */
     private static final double COLD_DRAW = 2;
+    /** Who finds no room is told to come back after about this many mean aims, in time for the aim still. */
+    private static final double COME_BACK_AIMS = 0.1;
     /** A time budget under this share of the class's usual one marks a later try, trimmed to what is left. */
     private static final double TRIMMED = 0.95;
     /** Asked discovery: first call within this share of askWithin, so that proxies do not call in step. */
@@ -399,7 +401,7 @@
         startedAt = startedAt == 0 ? now : startedAt;
         Pending p = new Pending(request, services.getOrDefault(request.serviceClass(), unknown), now);
         if (request.timeBudget() <= 0 || !admitted(now, p)) {
-            actions.refuse(request.id(), 0);
+            actions.refuse(request.id(), comeBack(request.id()));
             return;
         }
         pending.put(request.id(), p);
@@ -925,6 +927,12 @@
         }
     }
 
+    /** When to try again: spread, as clients refused together would else come back together. */
+    private long comeBack(String requestId) {
+        double spread = (mixed(random ^ requestId.hashCode()) >>> 11) * 0x1.0p-53;
+        return (long) (meanAim * COME_BACK_AIMS * (0.5 + spread));
+    }
+
     /** The one final answer: a refusal where trying again is harmless, else a failure. */
     private void giveUp(Pending p) {
         close(p, -1);
--- a/src/test/java/dockrelay/TroublesTest.java
+++ b/src/test/java/dockrelay/TroublesTest.java
@@ -310,6 +310,23 @@
         assertEquals(before, host.refused.size(), "nothing is shed once answers are quick again");
     }
 
+    @Test
+    void whoFindsNoRoomIsToldAtOnceWhenToComeBackAndNotAllAtTheSameTime() {
+        Host host = Host.usual().fleet(4);
+        host.warmUp(200);
+        java.util.Set<Long> waits = new java.util.TreeSet<>();
+        for (int i = 0; i < 200; i++) {
+            host.request("r" + i, "safe");
+            String[] last = host.actions.get(host.actions.size() - 1).split(" ");
+            if (last[0].equals("refuse")) {
+                assertEquals("r" + i, last[1]);
+                waits.add(Long.parseLong(last[2]));
+            }
+        }
+        assertTrue(waits.size() > 50, "spread: " + waits);
+        waits.forEach(wait -> assertTrue(wait >= 10 * Host.MS && wait <= 30 * Host.MS, "of 200 ms: " + wait));
+    }
+
     @Test
     void aTenantAboveItsShareWaitsForRoomAndOthersAreServed() {
         Host host = Host.of(Host.settings(Host.limits(), false,
