--- a/src/main/java/dockrelay/Balancer.java
+++ b/src/main/java/dockrelay/Balancer.java
@@ -25,8 +25,11 @@
     /** What the list says of a backend. */
     enum Phase { GONE, READY, DRAINING }
 
-    /** What discovery says; CACHED is a full list that may be stale, FAILED has no entries. */
-    enum ListScope { FULL, DELTA, CACHED, FAILED }
+    /**
+     * What discovery says; CACHED is a full list that may be stale, FAILED has no entries. OPERATED are
+     * changes that the operators made: they say nothing of discovery.
+     */
+    enum ListScope { FULL, DELTA, CACHED, FAILED, OPERATED }
 
     /** How an attempt or a probe ended. */
     enum Outcome {
--- a/src/main/java/dockrelay/RiqBalancer.java
+++ b/src/main/java/dockrelay/RiqBalancer.java
@@ -265,13 +265,13 @@
                 actions.setTimer((long) (TELL_EVERY * (0.5 + uniform())), TELL_TOKEN);
             }
         }
-        if (settings.askedDiscovery()) {
+        if (settings.askedDiscovery() && scope != ListScope.OPERATED) {
             followDiscovery(scope);
         }
         if (scope == ListScope.FAILED) {
             return;
         }
-        if (scope != ListScope.DELTA) {
+        if (scope == ListScope.FULL || scope == ListScope.CACHED) {
             for (Node node : nodes.values()) {
                 node.phase = Phase.GONE; // what a full list does not name is gone
             }
--- a/src/main/java/dockrelay/proxy/Config.java
+++ b/src/main/java/dockrelay/proxy/Config.java
@@ -15,8 +15,8 @@
 /** What the proxy is told at its start. Times are in microseconds. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
               Map<?, ?> known, Settings settings, long connectTimeout, long connectionIdle,
-              boolean retryAfter, InetSocketAddress peerListen, List<InetSocketAddress> peers,
-              InetSocketAddress peersAll) {
+              boolean retryAfter, InetSocketAddress console,
+              InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll) {
     private static final double MICROS = 1_000_000;
 
     static Config read(Path file) throws IOException {
@@ -38,7 +38,8 @@
             map(top, "known"), SettingsReader.read(settings),
             (long) (number(allowed, "ConnectTimeout", 0.25) * MICROS),
             (long) (number(allowed, "ConnIdle", 15) * MICROS),
-            !Boolean.FALSE.equals(allowed.get("RetryAfter")), maybe(top, "peer_listen"),
+            !Boolean.FALSE.equals(allowed.get("RetryAfter")), maybe(top, "console"),
+            maybe(top, "peer_listen"),
             list(top, "peers").stream().map(peer -> address((String) peer)).toList(),
             maybe(top, "peers_all"));
     }
--- a/src/main/java/dockrelay/proxy/Discovery.java
+++ b/src/main/java/dockrelay/proxy/Discovery.java
@@ -33,7 +33,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * The watch on the list of backends. Where lists are pushed it is opened at once and again whenever it ends;
@@ -54,13 +57,18 @@
     private final RequestTable table;
     private final JsonFactory json = new JsonFactory();
     private final Map<String, Long> ids = new HashMap<>();
-    private final Map<Long, RequestTable.Member> known = new HashMap<>();
+    /** As discovery has them, by their names: what the operators say is laid over when they are told. */
+    private final Map<String, RequestTable.Member> known = new HashMap<>();
+    private final Operators operators;
+    private volatile boolean anyReady;
     private long version = -1;
     private long backoff = FIRST_BACKOFF_MILLIS;
+    private final CountDownLatch listed = new CountDownLatch(1);
     private Channel watch;
     private boolean closed;
 
-    Discovery(Bootstrap template, EventLoop loop, Config config, RequestTable table) {
+    Discovery(Bootstrap template, EventLoop loop, Config config, RequestTable table, Operators operators) {
+        this.operators = operators;
         this.loop = loop;
         this.address = config.discovery();
         this.asked = config.settings().askedDiscovery();
@@ -79,12 +87,17 @@
     /** Hands on the list that the proxy last had, as the first the module hears, and starts to watch. */
     void start(Map<?, ?> cached) {
         version = (long) Config.number(cached, "version", -1);
-        table.members(ListScope.CACHED, members(Config.list(cached, "servers")));
+        tell(ListScope.CACHED, members(Config.list(cached, "servers")));
         if (!asked) {
             subscribe();
         }
     }
 
+    /** Waits on another thread for the first word of discovery itself; it may be away. */
+    boolean awaitList(long millis) throws InterruptedException {
+        return listed.await(millis, TimeUnit.MILLISECONDS);
+    }
+
     void close() {
         closed = true;
         if (watch != null) {
@@ -92,9 +105,23 @@
         }
     }
 
-    /** Whether any backend is known that may be sent to. */
+    /** Whether any backend is known that may be sent to; any thread may ask. */
     boolean anyReady() {
-        return known.values().stream().anyMatch(member -> member.backend().phase() == Phase.READY);
+        return anyReady;
+    }
+
+    /** The operators have changed what holds for this backend. */
+    void operated(String name) {
+        RequestTable.Member member = known.get(name);
+        if (member != null) {
+            tell(ListScope.OPERATED, List.of(operators.overlay(name, member)));
+        }
+    }
+
+    private void tell(ListScope scope, List<RequestTable.Member> members) {
+        table.members(scope, members);
+        anyReady = known.entrySet().stream().anyMatch(entry ->
+            operators.overlay(entry.getKey(), entry.getValue()).backend().phase() == Phase.READY);
     }
 
     /** Opens a watch from the version at hand, in place of the one there is. */
@@ -162,36 +189,42 @@
         String kind = full ? "list of version " : "changes to version ";
         Log.line("discovery", kind + told + ", entries " + members.size());
         version = told;
-        table.members(full ? ListScope.FULL : ListScope.DELTA, members);
         if (full) {
-            known.keySet().retainAll(members.stream().map(member -> member.backend().id()).toList());
+            Set<Long> named = members.stream().map(member -> member.backend().id())
+                .collect(Collectors.toSet());
+            known.values().removeIf(member -> !named.contains(member.backend().id()));
         }
+        tell(full ? ListScope.FULL : ListScope.DELTA, members);
+        listed.countDown();
     }
 
     private List<RequestTable.Member> members(List<?> entries) {
         List<RequestTable.Member> members = new ArrayList<>();
         for (Object item : entries) {
             RequestTable.Member member;
+            String name;
             try {
-                member = member((Map<?, ?>) item);
+                name = Config.text((Map<?, ?>) item, "id");
+                member = member(name, (Map<?, ?>) item);
             } catch (RuntimeException e) {
                 Log.error("discovery", e); // guards against one bad entry hiding all the others
                 continue;
             }
-            members.add(member);
+            operators.name(name);
+            members.add(operators.overlay(name, member));
             if (member.backend().phase() == Phase.GONE) {
-                known.remove(member.backend().id());
+                known.remove(name);
             } else {
-                known.put(member.backend().id(), member);
+                known.put(name, member);
             }
         }
         return members;
     }
 
     /** An entry; what a change leaves out stays as it was. */
-    private RequestTable.Member member(Map<?, ?> entry) {
-        long id = id(Config.text(entry, "id"));
-        RequestTable.Member before = known.get(id);
+    private RequestTable.Member member(String name, Map<?, ?> entry) {
+        long id = id(name);
+        RequestTable.Member before = known.get(name);
         Backend old = before == null ? new Backend(id, "", "", 0, Phase.GONE, 1, 0) : before.backend();
         String zone = entry.get("zone") instanceof String text ? text : old.zone();
         String kind = entry.get("kind") instanceof String text ? text : old.kind();
--- a/src/main/java/dockrelay/proxy/Proxy.java
+++ b/src/main/java/dockrelay/proxy/Proxy.java
@@ -32,6 +32,8 @@
     private static final int BACKLOG = 1024;
     /** After SIGTERM new connections go on coming for up to 0.4 s; none is turned away. */
     private static final long LAST_CONNECTIONS_MILLIS = 550;
+    /** Two processes notice each other and each other's changes within this. */
+    private static final long LOOK_MILLIS = 100;
     private static final long COUNTERS_MILLIS = 5_000;
     /** How late the loop runs is looked at so often: each event waits as long as such a look does. */
     private static final long LATENESS_MILLIS = 50;
@@ -50,10 +52,18 @@
     private final Discovery discovery;
     private final CountDownLatch finished = new CountDownLatch(1);
     private final Counters counters = new Counters();
-    private boolean stopping;
+    private final Operators operators;
+    private final Console console;
+    private final Succession succession;
+    private volatile boolean accepting, stopping;
+    private boolean shared;
     private long looked, latest;
 
-    Proxy(Config config) {
+    Proxy(Config config) throws IOException {
+        this(config, Platform.NONE);
+    }
+
+    Proxy(Config config, Platform platform) throws IOException {
         LongSupplier clock = clock();
         PooledByteBufAllocator buffers = new PooledByteBufAllocator(true, 1, 1, 8192, 5, 256, 64, false);
         Bootstrap sockets = new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -63,7 +73,8 @@
         BackendPool pool = new BackendPool(sockets, loop, room - fromClients, config.connectTimeout(),
             config.connectionIdle(), counters);
         table = new RequestTable(loop, pool, clock, config, counters);
-        discovery = new Discovery(sockets, loop, config, table);
+        operators = new Operators(platform.console() == null ? null : platform.folder());
+        discovery = new Discovery(sockets, loop, config, table, operators);
         Consumer<String> tell = message -> { };
         if (config.settings().limits().peers() && config.peerListen() != null) {
             tell = new Peers(loop, config, table)::tell;
@@ -72,6 +83,12 @@
         clients = new ClientSide(table, config.settings().classes(), fromClients, this::ready,
             counters);
         loop.execute(() -> discovery.start(config.known()));
+        console = platform.console() == null ? null
+            : new Console(platform.console(), operators, () -> accepting && ready(), this::enforce);
+        succession = console == null || platform.folder() == null ? null : new Succession(platform.folder());
+        if (succession != null) {
+            console.every(LOOK_MILLIS, this::lookAround);
+        }
         ServerBootstrap listening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.ALLOCATOR, buffers);
@@ -83,6 +100,7 @@
         ChannelFuture bound =
             loop.submit(() -> clients.listen(listening, config.listen())).syncUninterruptibly().getNow();
         bound.syncUninterruptibly();
+        accepting = true;
         loop.execute(this::count);
         Log.line("start", config.name() + " listens at " + config.listen());
     }
@@ -113,7 +131,8 @@
             Path file = Path.of(System.getenv("PROXY_CONFIG"));
             CompletableFuture<Proxy> started = new CompletableFuture<>();
             Signals.onHangUp(() -> started.thenAccept(proxy -> proxy.reload(file)));
-            Proxy proxy = new Proxy(Config.read(file));
+            Config config = Config.read(file);
+            Proxy proxy = new Proxy(config, Platform.of(config, System.getenv()));
             Runtime.getRuntime().addShutdownHook(new Thread(proxy::stop, "stop"));
             started.complete(proxy);
         } catch (IOException | RuntimeException e) {
@@ -151,10 +170,28 @@
         return (InetSocketAddress) clients.address();
     }
 
+    InetSocketAddress console() {
+        return console.address();
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
     private boolean ready() {
         return !stopping && discovery.anyReady();
     }
 
+    /** Lays what the operators said over what the module and the pool go by, at once. */
+    private CompletableFuture<Void> enforce(String backend) {
+        return CompletableFuture.runAsync(() -> discovery.operated(backend), loop);
+    }
+
+    /** Takes up what another process of this proxy has changed. */
+    private void lookAround() {
+        operators.refresh().forEach(this::enforce);
+    }
+
     /** Answers all that comes and all that was taken, then ends; returns once that is done. */
     void stop() {
         loop.execute(() -> {
@@ -177,6 +214,9 @@
     /** The last answers are on their way: the loop writes them out before it ends. */
     private void finish() {
         discovery.close();
+        if (console != null) {
+            console.close();
+        }
         group.shutdownGracefully(50, 1000, TimeUnit.MILLISECONDS).addListener(done -> finished.countDown());
     }
 }
--- /dev/null
+++ b/src/test/java/dockrelay/proxy/ConsoleTest.java
@@ -0,0 +1,220 @@
+package dockrelay.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockrelay.Balancer.Backend;
+import dockrelay.Balancer.Phase;
+import dockrelay.proxy.Fakes.BackendFake;
+import dockrelay.proxy.Fakes.ClientFake;
+import dockrelay.proxy.Fakes.DiscoveryFake;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The operators' address, and what it does to the backends that the proxy goes by. */
+class ConsoleTest {
+    private static final String SERVED = Fakes.answer("200 OK", "", "a rate");
+
+    private final DiscoveryFake discovery = new DiscoveryFake();
+    private final BackendFake one = new BackendFake(request -> SERVED);
+    private final BackendFake two = new BackendFake(request -> SERVED);
+    @TempDir
+    private Path folder;
+    private Proxy proxy;
+
+    @BeforeEach
+    void start() throws Exception {
+        discovery.first(both(2));
+        proxy = started();
+    }
+
+    private String both(int version) {
+        return DiscoveryFake.list(version, true, Fakes.entry("s-1", one.port(), "active"),
+            Fakes.entry("s-2", two.port(), "active"));
+    }
+
+    private Proxy started() throws IOException {
+        Proxy made = new Proxy(Fakes.config(discovery.port(), 1024),
+            new Platform(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), folder, null));
+        Fakes.await("yes to PING", () -> call(made, "PING\n").startsWith("200 "));
+        return made;
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        proxy.stop();
+        one.close();
+        two.close();
+        discovery.close();
+    }
+
+    private static String call(Proxy at, String raw) {
+        try (Socket socket = connected(at)) {
+            socket.getOutputStream().write(raw.getBytes(StandardCharsets.UTF_8));
+            if (!raw.endsWith("\n")) {
+                socket.shutdownOutput();
+            }
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static Socket connected(Proxy at) throws IOException {
+        return new Socket(InetAddress.getLoopbackAddress(), at.console().getPort());
+    }
+
+    private void ask(int times) throws IOException {
+        try (ClientFake client = new ClientFake(proxy)) {
+            for (int i = 0; i < times; i++) {
+                assertEquals(200, client.send(ClientFake.post("put", "3.0")).status());
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"\n", "PONG\n", "ping\n", "PING \n", "PING s-1\n", "DETACH\n", "DETACH \n",
+        "DETACH s-9\n", "ATTACH s-9\n", "DETACH s-1 s-2\n", " DETACH s-1\n", "DETACH ../s-1\n", "DETACH s-1",
+        "GET / HTTP/1.1\r\n", ""})
+    void aBadCallIsToldSoAndChangesNothing(String raw) throws IOException {
+        String answer = call(proxy, raw);
+        assertTrue(answer.matches("400 [^\\n]+\\n"), answer);
+        assertFalse(marked(), "nothing is kept");
+    }
+
+    private boolean marked() throws IOException {
+        try (DirectoryStream<Path> kept = Files.newDirectoryStream(folder, "backend-*")) {
+            return kept.iterator().hasNext();
+        }
+    }
+
+    @Test
+    void aLineWithoutEndIsCutOff() {
+        assertTrue(call(proxy, "DETACH " + "s".repeat(5_000) + "\n").startsWith("400 "));
+    }
+
+    @Test
+    void whatIsTakenOutGetsNothingWhateverTheListsSayUntilItIsPutBack() throws Exception {
+        assertTrue(call(proxy, "DETACH s-1\r\n").startsWith("200 "));
+        assertTrue(call(proxy, "DETACH s-1\n").startsWith("200 "), "said twice, it is out as before");
+        ask(30);
+        discovery.push(both(3));
+        discovery.push(DiscoveryFake.list(4, false, Fakes.entry("s-1", one.port(), "left")));
+        discovery.push(DiscoveryFake.list(5, false, Fakes.entry("s-1", one.port(), "active")));
+        discovery.push(DiscoveryFake.list(6, false, Fakes.entry("s-3", two.port(), "active")));
+        Fakes.await("the last list is known", () -> call(proxy, "ATTACH s-3\n").startsWith("200 "));
+        ask(30);
+        assertEquals(0, one.requests.size());
+        assertTrue(call(proxy, "ATTACH s-1\n").startsWith("200 "), "two calls out need one back");
+        Fakes.await("it is used again", () -> {
+            try {
+                ask(5);
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+            return !one.requests.isEmpty();
+        });
+    }
+
+    @Test
+    void theNextProcessKeepsItOutAndBothNoticeEachOthersChanges() throws Exception {
+        call(proxy, "DETACH s-1\n");
+        Proxy first = proxy;
+        proxy = started();
+        try {
+            ask(30);
+            assertEquals(0, one.requests.size());
+            call(first, "DETACH s-2\n");
+            Fakes.await("no backend is left to it", () -> call(proxy, "PING\n").startsWith("400 "));
+        } finally {
+            first.stop();
+        }
+    }
+
+    @Test
+    void callersThatFinishNoCallHoldUpNobody() throws Exception {
+        List<Socket> hanging = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            hanging.add(connected(proxy));
+            hanging.get(i).getOutputStream().write('P');
+        }
+        assertTrue(call(proxy, "PING\n").startsWith("200 "));
+        for (Socket socket : hanging) {
+            Fakes.await("the caller is sent away", () -> ended(socket));
+            socket.close();
+        }
+    }
+
+    private static boolean ended(Socket socket) {
+        try {
+            return socket.getInputStream().read() < 0;
+        } catch (IOException e) {
+            return true; // reset: ended as well
+        }
+    }
+
+    @Test
+    void aBusyLoopDelaysNoAnswer() throws Exception {
+        CountDownLatch busy = new CountDownLatch(1);
+        proxy.loop().submit(() -> busy.await(1, TimeUnit.MINUTES));
+        try {
+            assertTrue(call(proxy, "PING\n").startsWith("200 "));
+        } finally {
+            busy.countDown();
+        }
+    }
+
+    private static RequestTable.Member listed(Phase phase, long startedAt) {
+        return new RequestTable.Member(new Backend(1, "a", "k", 1, phase, 1, startedAt), null);
+    }
+
+    @Test
+    void putBackItHasStartedAtTheCallUnlessDiscoveryNamesALaterStart(@TempDir Path kept) throws Exception {
+        Operators operators = new Operators(kept);
+        operators.name("s-1");
+        assertFalse(operators.attach("s-1"), "it was not out");
+        assertEquals(0, operators.overlay("s-1", listed(Phase.READY, 0)).backend().startedAt());
+        assertTrue(operators.detach("s-1"));
+        assertEquals(Phase.DRAINING, operators.overlay("s-1", listed(Phase.READY, 0)).backend().phase());
+        assertEquals(Phase.GONE, operators.overlay("s-1", listed(Phase.GONE, 0)).backend().phase());
+        long before = System.currentTimeMillis() * 1_000;
+        assertTrue(operators.attach("s-1"));
+        for (Operators each : List.of(operators, new Operators(kept))) {
+            Backend back = each.overlay("s-1", listed(Phase.READY, 1)).backend();
+            assertEquals(Phase.READY, back.phase());
+            assertTrue(back.startedAt() >= before, "cold as of the call");
+            long later = Long.MAX_VALUE;
+            assertEquals(later, each.overlay("s-1", listed(Phase.READY, later)).backend().startedAt());
+        }
+    }
+
+    @Test
+    void whatCannotBeReadOfTheStateHidesNothingElse(@TempDir Path kept) throws Exception {
+        Operators before = new Operators(kept);
+        before.name("s/1");
+        before.detach("s/1");
+        Files.write(kept.resolve("backend-s-2"), new byte[] {(byte) 0xff, 'o', 'u'});
+        Files.createFile(kept.resolve("backend-s-3"));
+        Operators after = new Operators(kept);
+        assertTrue(after.knows("s/1"));
+        assertFalse(after.knows("s-2") || after.knows("s-3"));
+        assertEquals(1, after.out());
+    }
+}
