--- a/src/main/java/dockrelay/proxy/BackendPool.java
+++ b/src/main/java/dockrelay/proxy/BackendPool.java
@@ -46,7 +46,8 @@
     private final Bootstrap bootstrap;
     private final EventLoop loop;
     private final Counters counters;
-    private final int most;
+    private final int fullMost;
+    private int most;
     private final long idleNanos;
     private final Map<Long, Peer> peers = new HashMap<>();
     private int connections;
@@ -67,6 +68,7 @@
         this.loop = loop;
         this.counters = counters;
         counters.gauge("backend-connections", () -> connections);
+        this.fullMost = most;
         this.most = most;
         this.idleNanos = (long) (connectionIdle * IDLE_SHARE * 1000);
         this.bootstrap = template.clone()
@@ -81,6 +83,19 @@
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MICROS, SWEEP_MICROS, TimeUnit.MICROSECONDS);
     }
 
+    int size() {
+        return connections;
+    }
+
+    /** Keeps to so many connections, as there are no more descriptors. */
+    void limit(int left) {
+        most = Math.max(1, Math.min(fullMost, left));
+        int over = connections - most;
+        while (over-- > 0 && evict()) {
+            continue; // what is idle goes now, what is busy with its answer
+        }
+    }
+
     /** Where a backend listens now, and whether it may be sent anything new. */
     void learn(long backend, SocketAddress address, boolean ready) {
         Peer peer = peers.computeIfAbsent(backend, id -> new Peer());
--- a/src/main/java/dockrelay/proxy/ClientSide.java
+++ b/src/main/java/dockrelay/proxy/ClientSide.java
@@ -61,19 +61,23 @@
 
     private final RequestTable table;
     private final Counters counters;
-    private final int most;
+    private final int fullMost;
+    private int most;
     private final BooleanSupplier ready;
     private final Map<String, ServiceClass> classes = new HashMap<>();
     private final Set<Connection> connections = new HashSet<>();
     private final Set<Connection> idle = new LinkedHashSet<>(); // the one that was idle longest is first
     private Channel listener;
     private boolean closing, evicting;
+    private long lastAnswer;
+    private Runnable whenEmpty;
 
     ClientSide(RequestTable table, Iterable<ServiceClass> classes, int most, BooleanSupplier ready,
                Counters counters) {
         this.table = table;
         this.counters = counters;
         counters.gauge("clients", connections::size);
+        this.fullMost = most;
         this.most = most;
         this.ready = ready;
         for (ServiceClass spec : classes) {
@@ -81,28 +85,67 @@
         }
     }
 
+    /** Listens at an address; with none, the bootstrap's channel is a listening socket as it comes. */
     ChannelFuture listen(ServerBootstrap bootstrap, SocketAddress address) {
-        ChannelFuture bound = bootstrap.childHandler(new ChannelInitializer<Channel>() {
+        bootstrap.childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
                     RequestTimeout timeout = new RequestTimeout();
                     channel.pipeline().addLast(timeout, new HttpServerCodec(), new Whole(),
                         new Connection(timeout));
                 }
-            })
-            .bind(address);
+            });
+        ChannelFuture bound = address == null ? bootstrap.register() : bootstrap.bind(address);
         listener = bound.channel();
         return bound;
     }
 
-    /** From now on each answer ends its connection. */
-    void lastAnswers() {
+    int size() {
+        return connections.size();
+    }
+
+    /** Keeps to so many connections, as there are no more descriptors. */
+    void limit(int left) {
+        most = Math.max(1, Math.min(fullMost, left));
+        makeRoom();
+    }
+
+    /** From now on each answer ends its connection; none is of use after this time of the nano clock. */
+    void lastAnswers(long until) {
         closing = true;
+        lastAnswer = until;
+    }
+
+    /**
+     * Leaves the listening socket to another process. It stays open: closing an inherited one makes the
+     * runtime point the log at nothing.
+     */
+    void leave() {
+        listener.deregister();
+    }
+
+    /** Runs this once no connection is left. */
+    void whenEmpty(Runnable action) {
+        whenEmpty = action;
+        checkEmpty();
+    }
+
+    private void checkEmpty() {
+        if (whenEmpty != null && connections.isEmpty()) {
+            Runnable action = whenEmpty;
+            whenEmpty = null;
+            action.run();
+        }
     }
 
     /** Stops accepting, and closes what has no request in hand. */
     void close() {
         listener.close();
+        closeResting();
+    }
+
+    /** Closes what has no request in hand. */
+    void closeResting() {
         for (Connection connection : Set.copyOf(connections)) {
             if (connection.inHand == null && !connection.ending) {
                 connection.channel.close();
@@ -121,6 +164,9 @@
      */
     private void makeRoom() {
         boolean room = connections.size() < most;
+        if (listener == null || !listener.isRegistered()) {
+            return; // it is not this process's yet, or another one's now
+        }
         if (listener.config().isAutoRead() != room) {
             listener.config().setAutoRead(room);
         }
@@ -253,6 +299,7 @@
             if (inHand != null) {
                 table.clientGone(inHand);
             }
+            checkEmpty();
         }
 
         @Override
@@ -355,13 +402,19 @@
             inHand = id;
             String key = end < 0 ? null : path.substring(path.lastIndexOf('/') + 1);
             Request request = new Request(id, first, headers.get(Headers.TENANT), key,
-                (long) (Double.parseDouble(timeout) * MICROS),
+                budget((long) (Double.parseDouble(timeout) * MICROS)),
                 cost == null ? 0 : (long) Double.parseDouble(cost),
                 "1".equals(headers.get(Headers.RETRIED)));
             table.take(request, message, this::write);
             return null;
         }
 
+        /** Guards against a request that is still in hand when this process is killed: that one is lost. */
+        private long budget(long asked) {
+            return closing && lastAnswer != Long.MAX_VALUE
+                ? Math.min(asked, TimeUnit.NANOSECONDS.toMicros(lastAnswer - System.nanoTime())) : asked;
+        }
+
         private HttpResponseStatus unparsable(Throwable cause) {
             if (cause instanceof TooLongHttpContentException) {
                 return HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
--- a/src/main/java/dockrelay/proxy/Operators.java
+++ b/src/main/java/dockrelay/proxy/Operators.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -33,6 +34,7 @@
 
     private final Path folder;
     private final Map<String, Mark> marks = new ConcurrentHashMap<>();
+    private final Set<String> spoilt = new HashSet<>(); // files told of in the log
     private final Set<String> named = ConcurrentHashMap.newKeySet();
 
     /** A backend is out, or was put back at this time of the wall clock in microseconds. */
@@ -105,7 +107,7 @@
         return changed;
     }
 
-    private static Mark kept(Path file) throws IOException {
+    private Mark kept(Path file) throws IOException {
         String text;
         try {
             text = Files.readString(file, StandardCharsets.ISO_8859_1);
@@ -114,7 +116,9 @@
         }
         Matcher matcher = KEPT.matcher(text);
         if (!matcher.matches()) {
-            Log.line("operators", "cannot read " + file.getFileName());
+            if (spoilt.add(file.getFileName().toString())) {
+                Log.line("operators", "cannot read " + file.getFileName());
+            }
             return null;
         }
         return new Mark("out".equals(matcher.group(1)), Long.parseLong(matcher.group(2)));
--- a/src/main/java/dockrelay/proxy/Proxy.java
+++ b/src/main/java/dockrelay/proxy/Proxy.java
@@ -1,5 +1,6 @@
 package dockrelay.proxy;
 
+import dockrelay.Balancer.ServiceClass;
 import dockrelay.RiqBalancer;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -34,6 +35,11 @@
     private static final long LAST_CONNECTIONS_MILLIS = 550;
     /** Two processes notice each other and each other's changes within this. */
     private static final long LOOK_MILLIS = 100;
+    /** An upgrade's process is to serve within 6 s of its start; discovery may be away or overbooked. */
+    private static final long LIST_MILLIS = 2_000;
+    /** SIGKILL follows SIGTERM after the longest deadline, of this at most, and 0.7 s: some of it is kept. */
+    private static final long LONGEST_DEADLINE_MICROS = 3_000_000;
+    private static final long LAST_CHANCE_MILLIS = 450;
     private static final long COUNTERS_MILLIS = 5_000;
     /** How late the loop runs is looked at so often: each event waits as long as such a look does. */
     private static final long LATENESS_MILLIS = 50;
@@ -48,6 +54,7 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final RequestTable table;
+    private final BackendPool pool;
     private final ClientSide clients;
     private final Discovery discovery;
     private final CountDownLatch finished = new CountDownLatch(1);
@@ -56,7 +63,11 @@
     private final Console console;
     private final Succession succession;
     private volatile boolean accepting, stopping;
-    private boolean shared;
+    private boolean beside; // the console's thread has it
+    private volatile int held;
+    private final int room;
+    private final boolean shared;
+    private final long longestDeadline;
     private long looked, latest;
 
     Proxy(Config config) throws IOException {
@@ -68,9 +79,9 @@
         PooledByteBufAllocator buffers = new PooledByteBufAllocator(true, 1, 1, 8192, 5, 256, 64, false);
         Bootstrap sockets = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.ALLOCATOR, buffers).option(ChannelOption.TCP_NODELAY, true);
-        int room = Math.max(2, config.sockets() - SPARE_DESCRIPTORS);
+        room = Math.max(2, config.sockets() - SPARE_DESCRIPTORS);
         int fromClients = Math.max(1, (int) (room * CLIENTS_SHARE));
-        BackendPool pool = new BackendPool(sockets, loop, room - fromClients, config.connectTimeout(),
+        pool = new BackendPool(sockets, loop, room - fromClients, config.connectTimeout(),
             config.connectionIdle(), counters);
         table = new RequestTable(loop, pool, clock, config, counters);
         operators = new Operators(platform.console() == null ? null : platform.folder());
@@ -89,7 +100,12 @@
         if (succession != null) {
             console.every(LOOK_MILLIS, this::lookAround);
         }
-        ServerBootstrap listening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        shared = platform.listener() != null;
+        longestDeadline = config.settings().classes().stream().mapToLong(ServiceClass::deadline).max()
+            .orElse(0);
+        ServerBootstrap listening = new ServerBootstrap().group(loop)
+            .channelFactory(() -> shared ? new NioServerSocketChannel(platform.listener())
+                : new NioServerSocketChannel())
             .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.ALLOCATOR, buffers);
         // One accept at a time: of a batch the last ones would be open before room is made for them.
@@ -97,12 +113,26 @@
         // Warm first: clients come before healthz says 200 where the front has not noticed a restart, and
         // what is taken beside the warm-up is answered too late. A refused connection loses nothing.
         WarmUp.run(config, buffers);
-        ChannelFuture bound =
-            loop.submit(() -> clients.listen(listening, config.listen())).syncUninterruptibly().getNow();
+        if (shared) {
+            awaitList();
+        }
+        ChannelFuture bound = loop.submit(() -> clients.listen(listening, shared ? null : config.listen()))
+            .syncUninterruptibly().getNow();
         bound.syncUninterruptibly();
         accepting = true;
         loop.execute(this::count);
-        Log.line("start", config.name() + " listens at " + config.listen());
+        Log.line("start", config.name() + " listens at " + config.listen() + (shared ? ", shared" : ""));
+    }
+
+    /** Guards against taking clients over with an old list while the process before has a new one. */
+    private void awaitList() {
+        try {
+            if (!discovery.awaitList(LIST_MILLIS)) {
+                Log.line("start", "no list of discovery's yet: what was known before has to do");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /** Writes the counters to the log, and with them the most that the loop was late. */
@@ -174,6 +204,11 @@
         return console.address();
     }
 
+    /** How many connections of clients there are. */
+    int clients() {
+        return clients.size();
+    }
+
     EventLoop loop() {
         return loop;
     }
@@ -190,6 +225,21 @@
     /** Takes up what another process of this proxy has changed. */
     private void lookAround() {
         operators.refresh().forEach(this::enforce);
+        try {
+            int others = succession.exchange(held);
+            if (others >= 0 != beside) {
+                beside = others >= 0;
+                Log.line("console", beside ? "another process of this proxy runs beside" : "alone again");
+            }
+            loop.execute(() -> {
+                int left = others < 0 ? room : room - SPARE_DESCRIPTORS - others;
+                pool.limit(left - clients.size());
+                clients.limit(left - pool.size());
+                held = clients.size() + pool.size();
+            });
+        } catch (IOException e) {
+            Log.error("console", e); // it goes on with the places it has
+        }
     }
 
     /** Answers all that comes and all that was taken, then ends; returns once that is done. */
@@ -197,7 +247,11 @@
         loop.execute(() -> {
             Log.line("stop", "asked to end with " + table.size() + " requests in hand");
             stopping = true;
-            clients.lastAnswers();
+            if (shared) {
+                handOver();
+                return;
+            }
+            clients.lastAnswers(Long.MAX_VALUE);
             loop.schedule(() -> {
                 clients.close();
                 table.whenEmpty(this::finish);
@@ -211,6 +265,19 @@
         }
     }
 
+    /**
+     * Leaves new connections to the next process, and keeps those there are for as long as time allows: each
+     * ends with its next answer, and one that a request is on its way to is not closed under it.
+     */
+    private void handOver() {
+        long left = TimeUnit.MICROSECONDS.toMillis(Math.min(longestDeadline, LONGEST_DEADLINE_MICROS))
+            + LAST_CHANCE_MILLIS;
+        clients.leave();
+        clients.lastAnswers(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(left));
+        clients.whenEmpty(() -> table.whenEmpty(this::finish));
+        loop.schedule(clients::closeResting, left, TimeUnit.MILLISECONDS);
+    }
+
     /** The last answers are on their way: the loop writes them out before it ends. */
     private void finish() {
         discovery.close();
--- a/src/main/java/dockrelay/proxy/Succession.java
+++ b/src/main/java/dockrelay/proxy/Succession.java
@@ -1,6 +1,7 @@
 package dockrelay.proxy;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
@@ -10,7 +11,8 @@
 
 /**
  * Tells whether another process of this proxy runs beside this one, as in an upgrade: each holds the lock of
- * one of two seats, which the system takes back however the process ends.
+ * one of two seats, which the system takes back however the process ends. In its seat's file is how many
+ * descriptors it holds, as the limit is for both together.
  */
 final class Succession {
     private final FileChannel[] seats = new FileChannel[2];
@@ -20,23 +22,30 @@
         Files.createDirectories(folder);
         for (int i = 0; i < seats.length; i++) {
             seats[i] = FileChannel.open(folder.resolve("seat-" + i), StandardOpenOption.CREATE,
-                StandardOpenOption.WRITE);
+                StandardOpenOption.READ, StandardOpenOption.WRITE);
         }
         for (int i = 0; i < seats.length && own < 0; i++) {
             own = lock(seats[i]) == null ? -1 : i;
         }
     }
 
-    /** Whether somebody has the other seat; one without a seat has others beside it. */
-    boolean beside() throws IOException {
+    /**
+     * Tells the other process how many descriptors this one holds, and returns how many the other does; below
+     * 0 where there is none.
+     */
+    int exchange(int held) throws IOException {
         if (own < 0) {
-            return true;
+            return 0; // a third one is not foreseen: it takes no notice of the other two
         }
+        ByteBuffer figure = ByteBuffer.allocate(Integer.BYTES);
+        seats[own].write(figure.putInt(held).flip(), 0);
         FileLock other = lock(seats[1 - own]);
         if (other != null) {
             other.release();
+            return -1;
         }
-        return other == null;
+        figure.clear();
+        return seats[1 - own].read(figure, 0) < Integer.BYTES ? 0 : Math.max(0, figure.getInt(0));
     }
 
     /** Null where somebody else has it, in this process or another. */
--- a/src/test/java/dockrelay/proxy/ConsoleTest.java
+++ b/src/test/java/dockrelay/proxy/ConsoleTest.java
@@ -13,7 +13,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -53,7 +52,7 @@
     private Proxy started() throws IOException {
         Proxy made = new Proxy(Fakes.config(discovery.port(), 1024),
             new Platform(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), folder, null));
-        Fakes.await("yes to PING", () -> call(made, "PING\n").startsWith("200 "));
+        Fakes.await("yes to PING", () -> Fakes.call(made, "PING\n").startsWith("200 "));
         return made;
     }
 
@@ -65,18 +64,6 @@
         discovery.close();
     }
 
-    private static String call(Proxy at, String raw) {
-        try (Socket socket = connected(at)) {
-            socket.getOutputStream().write(raw.getBytes(StandardCharsets.UTF_8));
-            if (!raw.endsWith("\n")) {
-                socket.shutdownOutput();
-            }
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     private static Socket connected(Proxy at) throws IOException {
         return new Socket(InetAddress.getLoopbackAddress(), at.console().getPort());
     }
@@ -94,7 +81,7 @@
         "DETACH s-9\n", "ATTACH s-9\n", "DETACH s-1 s-2\n", " DETACH s-1\n", "DETACH ../s-1\n", "DETACH s-1",
         "GET / HTTP/1.1\r\n", ""})
     void aBadCallIsToldSoAndChangesNothing(String raw) throws IOException {
-        String answer = call(proxy, raw);
+        String answer = Fakes.call(proxy, raw);
         assertTrue(answer.matches("400 [^\\n]+\\n"), answer);
         assertFalse(marked(), "nothing is kept");
     }
@@ -107,22 +94,22 @@
 
     @Test
     void aLineWithoutEndIsCutOff() {
-        assertTrue(call(proxy, "DETACH " + "s".repeat(5_000) + "\n").startsWith("400 "));
+        assertTrue(Fakes.call(proxy, "DETACH " + "s".repeat(5_000) + "\n").startsWith("400 "));
     }
 
     @Test
     void whatIsTakenOutGetsNothingWhateverTheListsSayUntilItIsPutBack() throws Exception {
-        assertTrue(call(proxy, "DETACH s-1\r\n").startsWith("200 "));
-        assertTrue(call(proxy, "DETACH s-1\n").startsWith("200 "), "said twice, it is out as before");
+        assertTrue(Fakes.call(proxy, "DETACH s-1\r\n").startsWith("200 "));
+        assertTrue(Fakes.call(proxy, "DETACH s-1\n").startsWith("200 "), "said twice, it is out as before");
         ask(30);
         discovery.push(both(3));
         discovery.push(DiscoveryFake.list(4, false, Fakes.entry("s-1", one.port(), "left")));
         discovery.push(DiscoveryFake.list(5, false, Fakes.entry("s-1", one.port(), "active")));
         discovery.push(DiscoveryFake.list(6, false, Fakes.entry("s-3", two.port(), "active")));
-        Fakes.await("the last list is known", () -> call(proxy, "ATTACH s-3\n").startsWith("200 "));
+        Fakes.await("the last list is known", () -> Fakes.call(proxy, "ATTACH s-3\n").startsWith("200 "));
         ask(30);
         assertEquals(0, one.requests.size());
-        assertTrue(call(proxy, "ATTACH s-1\n").startsWith("200 "), "two calls out need one back");
+        assertTrue(Fakes.call(proxy, "ATTACH s-1\n").startsWith("200 "), "two calls out need one back");
         Fakes.await("it is used again", () -> {
             try {
                 ask(5);
@@ -135,14 +122,14 @@
 
     @Test
     void theNextProcessKeepsItOutAndBothNoticeEachOthersChanges() throws Exception {
-        call(proxy, "DETACH s-1\n");
+        Fakes.call(proxy, "DETACH s-1\n");
         Proxy first = proxy;
         proxy = started();
         try {
             ask(30);
             assertEquals(0, one.requests.size());
-            call(first, "DETACH s-2\n");
-            Fakes.await("no backend is left to it", () -> call(proxy, "PING\n").startsWith("400 "));
+            Fakes.call(first, "DETACH s-2\n");
+            Fakes.await("no backend is left to it", () -> Fakes.call(proxy, "PING\n").startsWith("400 "));
         } finally {
             first.stop();
         }
@@ -155,7 +142,7 @@
             hanging.add(connected(proxy));
             hanging.get(i).getOutputStream().write('P');
         }
-        assertTrue(call(proxy, "PING\n").startsWith("200 "));
+        assertTrue(Fakes.call(proxy, "PING\n").startsWith("200 "));
         for (Socket socket : hanging) {
             Fakes.await("the caller is sent away", () -> ended(socket));
             socket.close();
@@ -175,7 +162,7 @@
         CountDownLatch busy = new CountDownLatch(1);
         proxy.loop().submit(() -> busy.await(1, TimeUnit.MINUTES));
         try {
-            assertTrue(call(proxy, "PING\n").startsWith("200 "));
+            assertTrue(Fakes.call(proxy, "PING\n").startsWith("200 "));
         } finally {
             busy.countDown();
         }
--- a/src/test/java/dockrelay/proxy/Fakes.java
+++ b/src/test/java/dockrelay/proxy/Fakes.java
@@ -102,6 +102,19 @@
         return bytes.toString(StandardCharsets.UTF_8);
     }
 
+    /** What the operators' address answers to this line. */
+    static String call(Proxy at, String raw) {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), at.console().getPort())) {
+            socket.getOutputStream().write(raw.getBytes(StandardCharsets.UTF_8));
+            if (!raw.endsWith("\n")) {
+                socket.shutdownOutput();
+            }
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     static String answer(String status, String headers, String body) {
         return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n"
             + body;
--- /dev/null
+++ b/src/test/java/dockrelay/proxy/UpgradeTest.java
@@ -0,0 +1,107 @@
+package dockrelay.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockrelay.proxy.Fakes.BackendFake;
+import dockrelay.proxy.Fakes.ClientFake;
+import dockrelay.proxy.Fakes.DiscoveryFake;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Two processes of one proxy at one listening socket that neither of them owns. */
+class UpgradeTest {
+    private final DiscoveryFake discovery = new DiscoveryFake();
+    private final BackendFake backend = new BackendFake(request -> Fakes.answer("200 OK", "", "a rate"));
+    private ServerSocketChannel listener;
+    @TempDir
+    private Path folder;
+
+    @BeforeEach
+    void start() throws IOException {
+        discovery.first(DiscoveryFake.list(2, true, Fakes.entry("s-1", backend.port(), "active")));
+        listener = ServerSocketChannel.open()
+            .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        listener.close();
+        backend.close();
+        discovery.close();
+    }
+
+    private Proxy started() throws IOException {
+        Proxy proxy = new Proxy(Fakes.config(discovery.port(), 1024),
+            new Platform(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), folder, listener));
+        assertTrue(Fakes.call(proxy, "PING\n").startsWith("200 "), "it accepts once it is listed");
+        return proxy;
+    }
+
+    private ClientFake client() throws IOException {
+        int port = ((InetSocketAddress) listener.getLocalAddress()).getPort();
+        return new ClientFake(new Socket(InetAddress.getLoopbackAddress(), port));
+    }
+
+    @Test
+    void askedToEndItServesWhatItAcceptedAndLeavesTheRestToTheNextOne() throws Exception {
+        Proxy first = started();
+        try (ClientFake unread = client(); ClientFake resting = client()) {
+            assertEquals(200, resting.send(ClientFake.get("2.0")).status());
+            Fakes.await("both are accepted", () -> first.clients() == 2);
+            Proxy next = started();
+            Thread stopping = new Thread(first::stop);
+            stopping.start();
+            Fakes.await("it says that it ends", () -> Fakes.call(first, "PING\n").startsWith("400 "));
+            try (ClientFake late = client()) {
+                assertEquals(200, late.send(ClientFake.get("2.0")).status());
+                assertEquals(1, next.clients(), "the next one has it");
+                for (ClientFake kept : new ClientFake[] {unread, resting}) {
+                    String answer = kept.send(ClientFake.get("2.0")).answer();
+                    assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+                    assertTrue(answer.contains("connection: close"), answer);
+                    assertNull(kept.answer());
+                    kept.close();
+                }
+                stopping.join();
+                assertTrue(listener.isOpen(), "closing it would point the log at nothing");
+                assertEquals(200, late.send(ClientFake.get("2.0")).status());
+            }
+            next.stop();
+        }
+    }
+
+    @Test
+    void eachKnowsWhatTheOtherHoldsAndThatItHasEnded() throws Exception {
+        Succession one = new Succession(folder);
+        assertEquals(-1, one.exchange(5));
+        Succession two = new Succession(folder);
+        assertEquals(5, two.exchange(7));
+        assertEquals(7, one.exchange(6));
+        assertEquals(6, two.exchange(7));
+        one.close();
+        assertEquals(-1, two.exchange(7));
+        two.close();
+    }
+
+    @Test
+    void whatIsNoListeningSocketFailsTheStart() {
+        Config config = Fakes.config(1, 1024);
+        for (String descriptor : new String[] {"0", "3", "x"}) {
+            IOException failed = assertThrows(IOException.class,
+                () -> Platform.of(config, Map.of("PROXY_SOCKET_FD", descriptor)));
+            assertTrue(failed.getMessage().contains("no listening socket"), failed.getMessage());
+        }
+    }
+}
