--- a/src/main/java/dockrelay/Balancer.java
+++ b/src/main/java/dockrelay/Balancer.java
@@ -128,9 +128,18 @@
                       double throughput, double errorsPerSecond) {
     }
 
-    /** A client's request; tenant and key may be null, workHint is 0 where none was given. */
+    /**
+     * A client's request; tenant and key may be null, workHint is 0 where none was given. A streamed one's
+     * body is passed on as it comes: one attempt at a time can have it, and another one only if the host has
+     * all of it still, else it ends as NOT_SENT. Its time counts from its last byte, which the host sees to.
+     */
     record Request(String id, String serviceClass, String tenant, String key, long timeBudget,
-                   long workHint, boolean resubmission) {
+                   long workHint, boolean resubmission, boolean streamed) {
+        /** A request that is there whole. */
+        public Request(String id, String serviceClass, String tenant, String key, long timeBudget,
+                       long workHint, boolean resubmission) {
+            this(id, serviceClass, tenant, key, timeBudget, workHint, resubmission, false);
+        }
     }
 
     /** The list, changes to it, or the failure of a subscription or fetch. */
--- a/src/main/java/dockrelay/RiqBalancer.java
+++ b/src/main/java/dockrelay/RiqBalancer.java
@@ -209,7 +209,7 @@
     private static final class Attempt {
         final Node node;
         final long sentAt;
-        boolean ended, neverRan, overdue;
+        boolean ended, neverRan, overdue, settled;
 
         Attempt(Node node, long sentAt) {
             this.node = node;
@@ -224,7 +224,7 @@
         final long deadline;
         final List<Attempt> attempts = new ArrayList<>(2);
         int out;
-        boolean closed, streaming, copied;
+        boolean closed, streaming, copied, counted;
         int firstHedge;
         double size = 1;
 
@@ -405,7 +405,8 @@
             return;
         }
         pending.put(request.id(), p);
-        open++;
+        p.counted = !request.streamed(); // an upload may last long, and nobody works on it meanwhile
+        open += p.counted ? 1 : 0;
         earnBudgets(); // by what is let through only: refused requests must not pay for extra attempts
         dispatch(now, p);
     }
@@ -521,7 +522,7 @@
     }
 
     private boolean mayCopy(Pending p) {
-        return settings.limits().secondCopies() && settings.limits().mayCancel()
+        return settings.limits().secondCopies() && settings.limits().mayCancel() && !p.request.streamed()
             && (p.request.workHint() == 0 || p.size <= HINT_COPIED);
     }
 
@@ -639,7 +640,8 @@
 
     /** Whether another attempt is open to this request at all. */
     private boolean mayRepeat(long now, Pending p) {
-        if (p.closed || p.streaming || now >= p.deadline
+        if (p.closed || p.streaming || now >= p.deadline && !p.request.streamed()
+            || p.request.streamed() && mayHaveRun(p)
             || p.attempts.size() >= settings.limits().maxAttempts()
             || p.out > 0 && !settings.limits().secondCopies()) {
             return false;
@@ -667,7 +669,8 @@
         }
         // Guards against backends kept busy by work that comes too late to be worth anything.
         long left = p.arrivedAt + aim(p) - now;
-        actions.send(p.request.id(), node.id, p.service.spec.lateWorth() > 0 ? 0 : left);
+        boolean toTheEnd = p.service.spec.lateWorth() > 0 || p.request.streamed();
+        actions.send(p.request.id(), node.id, toTheEnd ? 0 : left);
     }
 
     private static long aim(Pending p) {
@@ -683,7 +686,9 @@
     }
 
     private void armHedge(long now, Pending p) {
-        if (!p.closed && p.out > 0 && p.attempts.size() < settings.limits().maxAttempts()) {
+        // What is streamed goes to one backend, and how long that takes tells of the client.
+        boolean open = !p.closed && !p.request.streamed() && p.out > 0;
+        if (open && p.attempts.size() < settings.limits().maxAttempts()) {
             long token = nextToken++;
             timers.put(token, p);
             actions.setTimer(overdueAfter(p), token);
@@ -754,11 +759,7 @@
         a.ended = true;
         a.neverRan = outcome.neverRan();
         p.out--;
-        a.node.inflight--;
-        inflightOfAll--;
-        if (a.overdue) {
-            a.node.overdue--;
-        }
+        settle(a);
         a.node.queuedAt = report == null ? a.node.queuedAt : report.queued() > 0 ? now : 0;
         if (a.sentAt <= a.node.drainedAt) {
             actions.hangUp(a.node.id); // guards against a drain that waits for a connection idle from now on
@@ -775,7 +776,8 @@
         if (!p.closed && p.out == 0) {
             // A failed connect costs no backend anything. Retries on full ones keep every queue full.
             boolean free = outcome == Outcome.CONNECT_FAILURE;
-            if ((free || retryBudget >= 1) && repeated(now, p, false)) {
+            boolean lost = outcome == Outcome.NOT_SENT && p.request.streamed(); // its first bytes are gone
+            if (!lost && (free || retryBudget >= 1) && repeated(now, p, false)) {
                 retryBudget -= free ? 0 : 1;
                 retriesSent++;
             } else {
@@ -788,6 +790,16 @@
         }
     }
 
+    /** The backend has done its work for this attempt, if any. */
+    private void settle(Attempt a) {
+        if (!a.settled) {
+            a.settled = true;
+            a.node.inflight--;
+            inflightOfAll--;
+            a.node.overdue -= a.overdue ? 1 : 0;
+        }
+    }
+
     private void learn(long now, Pending p, Attempt a, Outcome outcome, long latency) {
         ServiceState service = p.service;
         if (outcome == Outcome.OK) {
@@ -915,7 +927,8 @@
     /** The request is over: the losers are cancelled. */
     private void close(Pending p, int winner) {
         p.closed = true;
-        open--;
+        open -= p.counted ? 1 : 0;
+        p.counted = false;
         cancelOthers(p, winner);
     }
 
@@ -954,6 +967,9 @@
         Pending p = pending.get(requestId);
         if (p != null && !p.closed && attempt >= 0 && attempt < p.attempts.size()) {
             p.streaming = true;
+            open -= p.counted ? 1 : 0; // what is left is for the client to read, however long that takes
+            p.counted = false;
+            settle(p.attempts.get(attempt));
             p.attempts.get(attempt).node.heard = true;
             cancelOthers(p, attempt);
         }
--- a/src/main/java/dockrelay/proxy/BackendPool.java
+++ b/src/main/java/dockrelay/proxy/BackendPool.java
@@ -4,6 +4,8 @@
 import dockrelay.Balancer.Outcome;
 import dockrelay.proxy.Counters.Count;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
@@ -13,12 +15,20 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.CodecException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
@@ -40,7 +50,12 @@
     /** A kept connection is dropped this share of its idle time before the backend may drop it. */
     private static final double IDLE_SHARE = 0.85;
     private static final long SWEEP_MICROS = 500_000;
-    static final int MOST_BODY = 64 * 1024;
+    /** A longer message is passed on as it comes. */
+    static final int MOST_WHOLE = 64 * 1024;
+    /** An answer of unknown length is held for this part of its time at most, to see whether it is short. */
+    private static final long HELD_PART = 8;
+    /** Peers take seconds to read or write, and no longer: what stands still keeps its place from others. */
+    private static final long STILL_SECONDS = 10;
     private static final Pattern FIGURE = Pattern.compile("(\\w+)=(\\d{1,12}(?:\\.\\d{1,12})?)");
 
     private final Bootstrap bootstrap;
@@ -54,6 +69,11 @@
 
     /** Told once how an exchange ended; the response comes with OK only and is the listener's to release. */
     interface Listener {
+        /** A good answer that is too long to be kept whole begins; with its body's end comes OK alone. */
+        default void began(HttpResponse head, Body body) {
+            body.drop();
+        }
+
         void ended(Outcome outcome, LoadReport report, FullHttpResponse response);
     }
 
@@ -77,7 +97,7 @@
                 @Override
                 protected void initChannel(Channel channel) {
                     channel.pipeline().addLast(new ResponseDecoder(), new HttpRequestEncoder(),
-                        new HttpObjectAggregator(MOST_BODY), new Connection());
+                        new Connection());
                 }
             });
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MICROS, SWEEP_MICROS, TimeUnit.MICROSECONDS);
@@ -133,15 +153,22 @@
         }
     }
 
-    /** Sends a request, at once or never; the timeout is in microseconds. */
+    /** Sends a request that is there whole, at once or never; the timeout is in microseconds. */
     Exchange send(long backend, FullHttpRequest request, long timeout, Listener listener) {
+        return send(backend, request, null, timeout, listener);
+    }
+
+    /** Sends a request whose body, if there is one, goes on as it comes: the timeout starts with its end. */
+    Exchange send(long backend, HttpRequest request, Body body, long timeout, Listener listener) {
         Peer peer = peers.get(backend);
-        Exchange exchange = new Exchange(peer, request, listener);
+        Exchange exchange = new Exchange(peer, request, body, timeout, listener);
         if (peer == null || peer.address == null || timeout <= 0) {
             exchange.end(Outcome.NOT_SENT, null);
             return exchange;
         }
-        exchange.timer = loop.schedule(exchange::timeOut, timeout, TimeUnit.MICROSECONDS);
+        if (body == null) {
+            exchange.startTimer();
+        }
         Connection kept = takeIdle(peer);
         if (kept != null) {
             counters.add(Count.REUSED);
@@ -228,31 +255,100 @@
     }
 
     /** A request on its way, up to its one outcome. */
-    final class Exchange {
+    final class Exchange implements Body.Sink {
         private final Peer peer;
-        private final FullHttpRequest request;
+        private final HttpRequest request;
+        private final Body body;
+        private final long timeout;
         private final Listener listener;
         private Channel channel;
+        private Body answer;
         private Future<?> timer;
+        private long passed;
         private boolean written, ended;
 
-        private Exchange(Peer peer, FullHttpRequest request, Listener listener) {
+        private Exchange(Peer peer, HttpRequest request, Body body, long timeout, Listener listener) {
             this.peer = peer;
             this.request = request;
+            this.body = body;
+            this.timeout = timeout;
             this.listener = listener;
         }
 
+        private void startTimer() {
+            stopTimer();
+            timer = loop.schedule(this::timeOut, timeout, TimeUnit.MICROSECONDS);
+        }
+
+        private void stopTimer() {
+            if (timer != null) {
+                timer.cancel(false);
+            }
+        }
+
         private void writeTo(Connection connection) {
             channel = connection.channel;
             connection.current = this;
-            channel.writeAndFlush(request.retain()).addListener(done -> {
-                if (done.isSuccess()) {
-                    written = true;
-                } else {
-                    channel.close();
-                    end(Outcome.CONNECT_FAILURE, null);
+            if (body == null) {
+                channel.writeAndFlush(ReferenceCountUtil.retain(request)).addListener(this::written);
+                return;
+            }
+            channel.write(request).addListener(done -> {
+                if (!done.isSuccess()) {
+                    written(done);
                 }
             });
+            watch(body);
+            body.to(this);
+        }
+
+        private void written(Future<?> done) {
+            if (((io.netty.util.concurrent.Future<?>) done).isSuccess()) {
+                written = true;
+            } else {
+                channel.close();
+                end(Outcome.CONNECT_FAILURE, null);
+            }
+        }
+
+        @Override
+        public void part(HttpContent part) {
+            boolean last = part instanceof LastHttpContent;
+            if (last && answer == null) {
+                startTimer(); // from here on it is the backend's time
+            }
+            ChannelFuture sent = channel.writeAndFlush(part);
+            if (last) {
+                sent.addListener(this::written);
+            } else if (!channel.isWritable()) {
+                body.flow(false);
+            }
+        }
+
+        @Override
+        public void broken() {
+            end(Outcome.CANCELLED, null); // the backend must not take it for whole
+        }
+
+        /** A body that moves at all may take its time; one that stands still is broken off. */
+        private void watch(Body moving) {
+            passed = moving.passed();
+            stopTimer();
+            timer = loop.schedule(() -> {
+                if (moving.passed() == passed) {
+                    Log.line("pool", "a body stood still for " + STILL_SECONDS + " s");
+                    timeOut();
+                } else {
+                    watch(moving);
+                }
+            }, STILL_SECONDS, TimeUnit.SECONDS);
+        }
+
+        private void begin(HttpResponse head, Body from) {
+            answer = from;
+            counters.add(Count.STREAMED);
+            watch(from);
+            listener.began(head, from);
         }
 
         private void timeOut() {
@@ -264,22 +360,31 @@
             end(Outcome.CANCELLED, null);
         }
 
+        /** Ends it; the connection goes too unless a whole answer came. */
         private void end(Outcome outcome, FullHttpResponse response) {
             if (ended) {
                 return;
             }
+            ended = true; // before the close: what it ends calls back
+            if (response == null && channel != null) {
+                channel.close();
+            }
+            over(outcome, response == null ? null : report(response.headers().get(Headers.LOAD)), response);
+        }
+
+        private void over(Outcome outcome, LoadReport report, FullHttpResponse response) {
             ended = true;
             if (outcome != Outcome.OK) {
                 counters.add(Count.valueOf(outcome.name()));
             }
-            request.release();
-            if (timer != null) {
-                timer.cancel(false);
+            ReferenceCountUtil.release(request);
+            stopTimer();
+            if (body != null) {
+                body.leave(this);
             }
-            if (response == null && channel != null) {
-                channel.close();
+            if (answer != null) {
+                answer.fail(); // nothing where it is whole
             }
-            LoadReport report = response == null ? null : report(response.headers().get(Headers.LOAD));
             listener.ended(outcome, report, outcome == Outcome.OK ? response : null);
             if (outcome != Outcome.OK && response != null) {
                 response.release();
@@ -288,11 +393,14 @@
     }
 
     /** One connection to a backend. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements Body.Source {
         private Channel channel;
         private Peer peer;
         private SocketAddress address;
         private Exchange current;
+        private HttpResponse head;
+        private ByteBuf gathered;
+        private Body body;
         private long idleSince;
         private boolean reading;
 
@@ -306,29 +414,137 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+        protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
             Exchange exchange = current;
-            if (exchange == null || exchange.ended || response.decoderResult().isFailure()) {
-                unreadable(exchange == null ? "an answer to nothing" : response.decoderResult().toString());
-                response.release();
+            if (exchange == null || exchange.ended || part.decoderResult().isFailure()) {
+                if (channel.isOpen()) {
+                    unreadable(exchange == null ? "an answer to nothing" : part.decoderResult().toString());
+                }
+                ReferenceCountUtil.release(part);
                 broken(context); // nobody asked, or not HTTP: what was asked ends as a reset
                 return;
             }
-            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-                response.release();
-                return; // the final answer is yet to come
+            if (part instanceof HttpResponse start) {
+                begin(start);
+            }
+            if (part instanceof HttpContent content) {
+                take(context, content);
+            }
+        }
+
+        private void begin(HttpResponse start) {
+            head = start;
+            boolean good = start.status().code() == 200;
+            if (good && HttpUtil.getContentLength(start, 0L) > MOST_WHOLE) {
+                stream();
+            } else if (good && !HttpUtil.isContentLengthSet(start)) {
+                // Nobody knows how much is to come: its first bytes must not wait for the rest too long.
+                Exchange held = current;
+                loop.schedule(() -> {
+                    if (current == held && head == start && body == null) {
+                        stream();
+                    }
+                }, held.timeout / HELD_PART, TimeUnit.MICROSECONDS);
+            }
+        }
+
+        /** From here on the answer is passed on as it comes. */
+        private void stream() {
+            body = new Body(this, MOST_WHOLE);
+            if (gathered != null) {
+                body.add(new DefaultHttpContent(gathered));
+                gathered = null;
+            }
+            current.begin(head, body);
+        }
+
+        private void take(ChannelHandlerContext context, HttpContent content) {
+            boolean last = content instanceof LastHttpContent;
+            if (head == null) {
+                content.release();
+            } else if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                content.release();
+                head = last ? null : head; // the final answer is yet to come
+            } else if (body != null) {
+                Body whole = body;
+                if (last) {
+                    finish(context, whole, content);
+                } else {
+                    whole.add(content);
+                }
+            } else {
+                gathered = Body.gather(gathered, content, channel.alloc());
+                boolean tooLong = gathered != null && gathered.readableBytes() > MOST_WHOLE;
+                if (last) {
+                    finish(context);
+                } else if (tooLong && head.status().code() == 200) {
+                    stream();
+                } else if (tooLong) {
+                    unreadable("a long answer of " + head.status());
+                    current.written = true;
+                    broken(context);
+                }
             }
+        }
+
+        /** The answer is there whole. */
+        private void finish(ChannelHandlerContext context) {
+            Exchange exchange = current;
+            FullHttpResponse response = new DefaultFullHttpResponse(head.protocolVersion(), head.status(),
+                gathered == null ? Unpooled.EMPTY_BUFFER : gathered, head.headers(),
+                EmptyHttpHeaders.INSTANCE);
+            gathered = null;
+            keep(context);
+            exchange.end(outcome(response), response);
+        }
+
+        /** The answer has been passed on whole with this part. */
+        private void finish(ChannelHandlerContext context, Body whole, HttpContent last) {
+            Exchange exchange = current;
+            LoadReport report = report(head.headers().get(Headers.LOAD));
+            keep(context);
+            whole.add(last);
+            if (!exchange.ended) {
+                exchange.over(Outcome.OK, report, null);
+            }
+        }
+
+        private void keep(ChannelHandlerContext context) {
+            boolean keep = HttpUtil.isKeepAlive(head) && current.written && peer.ready
+                && address.equals(peer.address);
             current = null;
+            head = null;
+            body = null;
             reading = true;
-            boolean keep = HttpUtil.isKeepAlive(response) && exchange.written && peer.ready
-                && address.equals(peer.address);
             if (keep) {
+                channel.config().setAutoRead(true);
                 idleSince = System.nanoTime();
                 peer.idle.addLast(this);
             } else {
                 context.close();
             }
-            exchange.end(outcome(response), response);
+        }
+
+        @Override
+        public void flow(boolean on) {
+            if (current != null) {
+                channel.config().setAutoRead(on);
+            }
+        }
+
+        @Override
+        public void dropped() {
+            if (current != null) {
+                current.cancel();
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            if (current != null && current.body != null) {
+                current.body.flow(channel.isWritable());
+            }
+            context.fireChannelWritabilityChanged();
         }
 
         /** Bytes on a connection that waits for no answer are the rest of an earlier one, or nobody's. */
@@ -355,6 +571,11 @@
         private void broken(ChannelHandlerContext context) {
             Exchange exchange = current;
             current = null;
+            head = null;
+            if (gathered != null) {
+                gathered.release();
+                gathered = null;
+            }
             context.close();
             if (exchange != null) {
                 exchange.end(exchange.written ? Outcome.RESET : Outcome.CONNECT_FAILURE, null);
--- a/src/main/java/dockrelay/proxy/ClientSide.java
+++ b/src/main/java/dockrelay/proxy/ClientSide.java
@@ -6,32 +6,38 @@
 import dockrelay.proxy.Counters.Count;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpMessage;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.TooLongHttpContentException;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
@@ -40,6 +46,7 @@
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -54,10 +61,16 @@
     private static final double CROWDED = 0.75;
     /** A connection with no request open may be closed after 2 s. */
     private static final long REST_NANOS = TimeUnit.MILLISECONDS.toNanos(RequestTimeout.MILLIS);
+    /** ...and after one that came before its request was whole: what is on its way is read first. */
+    private static final long LINGER_UPLOAD_MILLIS = 2_500;
+    private static final long MOST_BODY = 32 << 20;
     private static final int LONGEST_ID = 128;
     private static final Pattern SECONDS = Pattern.compile("\\d{1,4}(\\.\\d{0,9})?|\\.\\d{1,9}");
     private static final Pattern WHOLE_MICROS = Pattern.compile("\\d{1,12}(\\.\\d{0,9})?");
     private static final double MICROS = 1_000_000;
+    private static final String ABSOLUTE = "http://";
+    /** Stands for the pipelined request that comes next. */
+    private static final String NEXT = "";
 
     private final RequestTable table;
     private final Counters counters;
@@ -91,8 +104,7 @@
                 @Override
                 protected void initChannel(Channel channel) {
                     RequestTimeout timeout = new RequestTimeout();
-                    channel.pipeline().addLast(timeout, new HttpServerCodec(), new Whole(),
-                        new Connection(timeout));
+                    channel.pipeline().addLast(timeout, new HttpServerCodec(), new Connection(timeout));
                 }
             });
         ChannelFuture bound = address == null ? bootstrap.register() : bootstrap.bind(address);
@@ -204,61 +216,20 @@
         return connections.size() >= most * CROWDED;
     }
 
-    /**
-     * Puts a request together; one that is too large, or whose end cannot be known for sure, goes on as a
-     * failed one: its answer ends the connection, as what follows may be its body.
-     */
-    private static final class Whole extends HttpObjectAggregator {
-        Whole() {
-            super(BackendPool.MOST_BODY);
-        }
-
-        /** Guards against the aggregator's own refusal, after which a body is read as a request. */
-        @Override
-        protected Object newContinueResponse(HttpMessage start, int most, ChannelPipeline pipeline) {
-            String expected = start.headers().get(HttpHeaderNames.EXPECT);
-            if (expected != null && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expected)) {
-                start.setDecoderResult(DecoderResult.failure(new ExpectationException(expected)));
-            }
-            boolean refused = start.decoderResult().isFailure() || isContentLengthInvalid(start, most);
-            return refused ? null : super.newContinueResponse(start, most, pipeline);
-        }
-
-        @Override
-        protected FullHttpMessage beginAggregation(HttpMessage start, ByteBuf content) throws Exception {
-            FullHttpMessage whole = super.beginAggregation(start, content);
-            String coding = start.headers().get(HttpHeaderNames.TRANSFER_ENCODING);
-            if (coding != null && start.decoderResult().isSuccess()) { // chunked is taken out by now
-                start.setDecoderResult(DecoderResult.failure(
-                    new IllegalArgumentException("unknown transfer coding " + coding)));
-            }
-            return whole;
-        }
-
-        @Override
-        protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-            FullHttpRequest failed = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
-            failed.setDecoderResult(DecoderResult.failure(new TooLongHttpContentException()));
-            context.fireChannelRead(failed);
-        }
-    }
-
-    private static final class ExpectationException extends IllegalArgumentException {
-        private static final long serialVersionUID = 1;
-
-        ExpectationException(String expected) {
-            super("unknown expectation " + expected);
-        }
-    }
-
     /** One client connection: one request in hand, pipelined ones wait. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject>
+        implements RequestTable.Reply, Body.Source, Body.Sink {
+        private final Deque<HttpObject> early = new ArrayDeque<>();
+        private final RequestTimeout timeout;
         private Channel channel;
+        private HttpRequest head; // of the request that is coming in, else null
+        private ByteBuf gathered;
+        private long received;
+        private Body upload; // of the request that is coming in, where it is passed on as it comes
+        private Body answer; // that is passed on as it comes
         private String inHand;
-        private final RequestTimeout timeout;
         private long restingSince;
-        private boolean keep, ending;
+        private boolean keep, ending, last, old;
 
         Connection(RequestTimeout timeout) {
             super(false);
@@ -279,7 +250,7 @@
          * One that never sends any is closed by its timeout.
          */
         private void rest() {
-            if (inHand == null && !ending && channel.isActive()) {
+            if (inHand == null && head == null && !ending && channel.isActive()) {
                 if (idle.add(this)) {
                     restingSince = System.nanoTime();
                 }
@@ -294,21 +265,38 @@
             connections.remove(this);
             idle.remove(this);
             makeRoom();
-            waiting.forEach(FullHttpRequest::release);
-            waiting.clear();
+            early.forEach(ReferenceCountUtil::release);
+            early.clear();
+            drop();
+            if (answer != null) {
+                answer.release();
+                answer = null;
+            }
+            checkEmpty();
+        }
+
+        /** Ends the request that is in hand or coming in, without an answer. */
+        private void drop() {
+            if (gathered != null) {
+                gathered.release();
+                gathered = null;
+            }
             if (inHand != null) {
                 table.clientGone(inHand);
+                inHand = null;
+            }
+            if (upload != null) {
+                upload.fail();
+                upload = null;
             }
-            checkEmpty();
         }
 
         @Override
         public void userEventTriggered(ChannelHandlerContext context, Object event) {
-            if (event instanceof RequestTimeout.Late late && inHand == null && !ending) {
+            if (event instanceof RequestTimeout.Late late && !ending && (inHand == null || upload != null)) {
                 counters.add(Count.LATE);
-                if (late == RequestTimeout.Late.NOT_WHOLE) {
-                    keep = false;
-                    write(RequestTable.plain(HttpResponseStatus.REQUEST_TIMEOUT));
+                if (late == RequestTimeout.Late.NOT_WHOLE && answer == null) {
+                    end(HttpResponseStatus.REQUEST_TIMEOUT);
                 } else {
                     context.close();
                 }
@@ -317,52 +305,148 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest message) {
-            timeout.arrived();
+        protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
             if (ending) {
-                message.release();
-            } else if (inHand != null) {
-                waiting.add(message);
+                discard(part);
+            } else if (inHand != null && upload == null) {
+                early.add(part);
                 channel.config().setAutoRead(false); // one at a time: the rest stays in the socket
             } else {
-                accept(message);
+                read(part);
             }
         }
 
-        private void accept(FullHttpRequest message) {
-            idle.remove(this);
-            keep = HttpUtil.isKeepAlive(message);
-            if (message.decoderResult().isSuccess() && "/healthz".equals(path(message))) {
-                message.release();
-                write(RequestTable.plain(
-                    ready.getAsBoolean() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE));
-                return;
+        /** What comes after the answer is read: closing with bytes unread would take the answer with it. */
+        private void discard(HttpObject part) {
+            ReferenceCountUtil.release(part);
+            if (part instanceof LastHttpContent && head != null) {
+                head = null;
+                channel.eventLoop().execute(this::endSending);
+            }
+        }
+
+        private void read(HttpObject part) {
+            if (part instanceof HttpRequest start) {
+                begin(start);
             }
+            if (part instanceof HttpContent content) {
+                if (head == null || ending) {
+                    discard(content);
+                } else if (content.decoderResult().isFailure()) {
+                    content.release();
+                    improper(HttpResponseStatus.BAD_REQUEST, content.decoderResult().cause());
+                } else {
+                    take(content);
+                }
+            }
+        }
+
+        private void begin(HttpRequest start) {
+            idle.remove(this);
+            head = start;
+            received = 0;
+            keep = HttpUtil.isKeepAlive(start);
+            old = start.protocolVersion().equals(HttpVersion.HTTP_1_0);
             HttpResponseStatus wrong;
             try {
-                wrong = handled(message);
+                wrong = wrong(start);
             } catch (RuntimeException e) {
                 Log.error("client", e); // guards against one bad request taking the loop along
                 wrong = HttpResponseStatus.INTERNAL_SERVER_ERROR;
             }
             if (wrong != null) {
-                counters.add(Count.IMPROPER);
-                Throwable cause = message.decoderResult().cause();
-                Log.line("improper",
-                    wrong + " to " + channel.remoteAddress() + (cause == null ? "" : ": " + cause));
-                keep = false; // a peer that speaks badly has no claim to a place
+                improper(wrong, start.decoderResult().cause());
+                return;
+            }
+            if (HttpUtil.is100ContinueExpected(start)) {
+                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            }
+            if (HttpUtil.getContentLength(start, 0L) > BackendPool.MOST_WHOLE) {
+                stream();
+            }
+        }
+
+        private void take(HttpContent content) {
+            received += content.content().readableBytes();
+            boolean whole = content instanceof LastHttpContent;
+            if (received > MOST_BODY) {
+                content.release();
+                improper(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, null);
+            } else if (upload != null) {
+                Body body = upload;
+                if (whole) {
+                    timeout.arrived();
+                    head = null;
+                    upload = null;
+                    table.whole(inHand);
+                }
+                body.add(content);
+            } else {
+                gathered = Body.gather(gathered, content, channel.alloc());
+                if (whole) {
+                    timeout.arrived();
+                    accept();
+                } else if (received > BackendPool.MOST_WHOLE) {
+                    stream();
+                }
+            }
+        }
+
+        /** The request is there whole. */
+        private void accept() {
+            FullHttpRequest message = new DefaultFullHttpRequest(head.protocolVersion(), head.method(),
+                head.uri(), gathered == null ? Unpooled.EMPTY_BUFFER : gathered, head.headers(),
+                EmptyHttpHeaders.INSTANCE);
+            gathered = null;
+            head = null;
+            if (isHealthCheck(message)) {
                 message.release();
-                write(RequestTable.plain(wrong));
+                answer(RequestTable.plain(
+                    ready.getAsBoolean() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE));
+                return;
+            }
+            HttpResponseStatus wrong = bodyWrong(message);
+            if (wrong != null) {
+                message.release();
+                improper(wrong, null);
+                return;
+            }
+            Request request = request(message, false);
+            inHand = request.id();
+            table.take(request, message, this);
+        }
+
+        /** The request is long: it goes on as it comes. */
+        private void stream() {
+            HttpResponseStatus wrong = isHealthCheck(head) ? HttpResponseStatus.BAD_REQUEST : bodyWrong(head);
+            if (wrong != null) {
+                improper(wrong, null);
+                return;
+            }
+            Body body = new Body(this, BackendPool.MOST_WHOLE);
+            if (gathered != null) {
+                body.add(new DefaultHttpContent(gathered));
+                gathered = null;
             }
+            upload = body;
+            Request request = request(head, true);
+            inHand = request.id();
+            table.take(request, new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(),
+                Unpooled.EMPTY_BUFFER, head.headers(), EmptyHttpHeaders.INSTANCE), body, this);
+        }
+
+        private static boolean isHealthCheck(HttpRequest message) {
+            return "/healthz".equals(path(message));
         }
 
-        private static String path(FullHttpRequest message) {
+        private static String path(HttpRequest message) {
             int query = message.uri().indexOf('?');
             return query < 0 ? message.uri() : message.uri().substring(0, query);
         }
 
-        /** Passes a proper request on, and returns null; else the status that says what is wrong with it. */
-        private HttpResponseStatus handled(FullHttpRequest message) {
+        /** The status that says what is wrong with a request by its head alone; null where nothing is. */
+        private HttpResponseStatus wrong(HttpRequest message) {
             if (message.decoderResult().isFailure()) {
                 return unparsable(message.decoderResult().cause());
             }
@@ -370,8 +454,24 @@
             if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
                 return HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED;
             }
-            String path = path(message);
             HttpHeaders headers = message.headers();
+            List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+            if (!codings.isEmpty() && (codings.size() > 1
+                || !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0).trim()))) {
+                return HttpResponseStatus.BAD_REQUEST; // where its body ends cannot be known for sure
+            }
+            String expected = headers.get(HttpHeaderNames.EXPECT);
+            if (expected != null && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expected)) {
+                return HttpResponseStatus.EXPECTATION_FAILED;
+            }
+            if (HttpUtil.getContentLength(message, 0L) > MOST_BODY) {
+                return HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
+            }
+            message.setUri(originForm(message.uri()));
+            if (isHealthCheck(message)) {
+                return null;
+            }
+            String path = path(message);
             int end = path.indexOf('/', 1);
             String first = path.isEmpty() ? "" : path.substring(1, end < 0 ? path.length() : end);
             ServiceClass spec = classes.get(first);
@@ -384,29 +484,54 @@
                 return HttpResponseStatus.METHOD_NOT_ALLOWED;
             }
             String id = headers.get(Headers.REQUEST_ID);
-            String timeout = headers.get(Headers.TIMEOUT);
+            String asked = headers.get(Headers.TIMEOUT);
             String cost = headers.get(Headers.COST);
             boolean hosted = version.equals(HttpVersion.HTTP_1_0) || headers.contains(HttpHeaderNames.HOST);
-            if (!hosted || Headers.isAmbiguous(headers) || safe && message.content().isReadable()) {
+            if (!hosted || Headers.isAmbiguous(headers)) {
                 return HttpResponseStatus.BAD_REQUEST;
             }
             if (!first.equals(headers.get(Headers.CLASS)) || id == null || id.isEmpty()
-                || id.length() > LONGEST_ID || timeout == null || !SECONDS.matcher(timeout).matches()
+                || id.length() > LONGEST_ID || asked == null || !SECONDS.matcher(asked).matches()
                 || cost != null && !WHOLE_MICROS.matcher(cost).matches()
                 || spec.idempotency() == Idempotency.DEDUPLICATED && !keyed) {
                 return HttpResponseStatus.BAD_REQUEST;
             }
-            if (table.holds(id)) {
-                return HttpResponseStatus.CONFLICT; // ids are new with every request
+            return null;
+        }
+
+        /** The absolute form is as good as the usual one (RFC 9112, 3.2.2); backends get the usual one. */
+        private static String originForm(String uri) {
+            if (!uri.regionMatches(true, 0, ABSOLUTE, 0, ABSOLUTE.length())) {
+                return uri;
+            }
+            for (int i = ABSOLUTE.length(); i < uri.length(); i++) {
+                if (uri.charAt(i) == '/' || uri.charAt(i) == '?') {
+                    return (uri.charAt(i) == '?' ? "/" : "") + uri.substring(i);
+                }
             }
-            inHand = id;
-            String key = end < 0 ? null : path.substring(path.lastIndexOf('/') + 1);
-            Request request = new Request(id, first, headers.get(Headers.TENANT), key,
-                budget((long) (Double.parseDouble(timeout) * MICROS)),
+            return "/";
+        }
+
+        /** What is wrong with a request now that it has a body, or has come whole. */
+        private HttpResponseStatus bodyWrong(HttpRequest message) {
+            boolean body = received > 0 || HttpUtil.getContentLength(message, 0L) > 0;
+            if (body && HttpMethod.GET.equals(message.method())) {
+                return HttpResponseStatus.BAD_REQUEST;
+            }
+            return table.holds(message.headers().get(Headers.REQUEST_ID))
+                ? HttpResponseStatus.CONFLICT : null; // ids are new with every request
+        }
+
+        private Request request(HttpRequest message, boolean streamed) {
+            HttpHeaders headers = message.headers();
+            String path = path(message);
+            int end = path.indexOf('/', 1);
+            String cost = headers.get(Headers.COST);
+            return new Request(headers.get(Headers.REQUEST_ID), headers.get(Headers.CLASS),
+                headers.get(Headers.TENANT), end < 0 ? null : path.substring(path.lastIndexOf('/') + 1),
+                budget((long) (Double.parseDouble(headers.get(Headers.TIMEOUT)) * MICROS)),
                 cost == null ? 0 : (long) Double.parseDouble(cost),
-                "1".equals(headers.get(Headers.RETRIED)));
-            table.take(request, message, this::write);
-            return null;
+                "1".equals(headers.get(Headers.RETRIED)), streamed);
         }
 
         /** Guards against a request that is still in hand when this process is killed: that one is lost. */
@@ -416,51 +541,125 @@
         }
 
         private HttpResponseStatus unparsable(Throwable cause) {
-            if (cause instanceof TooLongHttpContentException) {
-                return HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
-            } else if (cause instanceof TooLongHttpLineException) {
+            if (cause instanceof TooLongHttpLineException) {
                 return HttpResponseStatus.REQUEST_URI_TOO_LONG;
             } else if (cause instanceof TooLongHttpHeaderException) {
                 return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
-            } else if (cause instanceof ExpectationException) {
-                return HttpResponseStatus.EXPECTATION_FAILED;
             }
             return HttpResponseStatus.BAD_REQUEST;
         }
 
-        private void write(FullHttpResponse response) {
-            inHand = null;
+        private void improper(HttpResponseStatus status, Throwable cause) {
+            counters.add(Count.IMPROPER);
+            Log.line("improper",
+                status + " to " + channel.remoteAddress() + (cause == null ? "" : ": " + cause));
+            end(status);
+        }
+
+        /** Ends the connection with this: a peer that speaks badly has no claim to a place. */
+        private void end(HttpResponseStatus status) {
+            keep = false;
+            drop();
+            if (answer == null) {
+                answer(RequestTable.plain(status));
+            } else {
+                channel.close(); // in the middle of an answer there is no place for another
+            }
+        }
+
+        /** Whether the next answer ends the connection; it does while the rest of its request is to come. */
+        private boolean isLast() {
+            boolean ends = !keep || closing || head != null;
+            if (!ends && crowded() && !closeLongestAtRest()) {
+                counters.add(Count.CROWDED);
+                ends = true;
+            }
+            return ends;
+        }
+
+        @Override
+        public void answer(FullHttpResponse response) {
             Headers.dropHopByHop(response.headers());
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
-            if (!keep || closing || crowded() && !closeLongestAtRest()) {
-                ending = true;
-                if (keep && !closing) {
-                    counters.add(Count.CROWDED);
-                }
+            last = isLast();
+            if (last) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-                channel.writeAndFlush(response).addListener((ChannelFutureListener) done -> endSending());
-                return;
             }
-            ChannelFuture written = channel.writeAndFlush(response);
-            FullHttpRequest next = waiting.poll();
-            if (next != null) {
+            finish(channel.writeAndFlush(response));
+        }
+
+        @Override
+        public void begin(HttpResponse start, Body body) {
+            HttpResponse response =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, start.status(), start.headers().copy());
+            Headers.dropHopByHop(response.headers());
+            boolean unending = !HttpUtil.isContentLengthSet(start);
+            HttpUtil.setTransferEncodingChunked(response, unending && !old);
+            keep &= !(unending && old); // an old client knows the end by that of the connection
+            last = isLast();
+            if (last) {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            answer = body;
+            channel.write(response);
+            body.to(this);
+            channel.flush();
+        }
+
+        @Override
+        public void part(HttpContent part) {
+            ChannelFuture written = channel.writeAndFlush(part);
+            if (part instanceof LastHttpContent) {
+                answer.release();
+                answer = null;
+                finish(written);
+            } else if (!channel.isWritable()) {
+                answer.flow(false);
+            }
+        }
+
+        /** The client is to see that its answer is not whole. */
+        @Override
+        public void broken() {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0); // an end may pass for the body's
+            channel.close();
+        }
+
+        /** The answer is on its way whole. */
+        private void finish(ChannelFuture written) {
+            inHand = null;
+            if (last) {
+                ending = true;
+                if (upload != null) {
+                    upload.release();
+                    upload = null;
+                    channel.config().setAutoRead(true);
+                }
+                written.addListener((ChannelFutureListener) done -> endSending());
+            } else if (!early.isEmpty()) {
                 // Not from within the answer: a long pipeline must not deepen the stack.
-                inHand = "";
-                channel.eventLoop().execute(() -> {
-                    inHand = null;
-                    acceptWaiting(next);
-                });
+                inHand = NEXT;
+                channel.eventLoop().execute(this::readEarly);
             } else {
                 channel.config().setAutoRead(true);
                 written.addListener(done -> rest()); // not before the answer is out whole
             }
         }
 
-        private void acceptWaiting(FullHttpRequest next) {
-            if (channel.isActive()) {
-                accept(next);
-            } else {
-                next.release();
+        private void readEarly() {
+            if (!channel.isActive()) {
+                return;
+            }
+            inHand = null;
+            while (!early.isEmpty() && (ending || inHand == null || upload != null)) {
+                if (ending) {
+                    discard(early.poll());
+                } else {
+                    read(early.poll());
+                }
+            }
+            if (early.isEmpty()) {
+                channel.config().setAutoRead(true);
             }
         }
 
@@ -468,12 +667,31 @@
             if (channel instanceof DuplexChannel duplex && channel.isActive()) {
                 duplex.shutdownOutput();
                 channel.config().setAutoRead(true);
-                channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+                channel.eventLoop().schedule(() -> channel.close(),
+                    head == null ? LINGER_MILLIS : LINGER_UPLOAD_MILLIS, TimeUnit.MILLISECONDS);
             } else {
                 channel.close();
             }
         }
 
+        @Override
+        public void flow(boolean on) {
+            channel.config().setAutoRead(on);
+        }
+
+        @Override
+        public void dropped() {
+            // the answer says so
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            if (answer != null) {
+                answer.flow(channel.isWritable());
+            }
+            context.fireChannelWritabilityChanged();
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             if (!(cause instanceof IOException)) {
--- a/src/main/java/dockrelay/proxy/Counters.java
+++ b/src/main/java/dockrelay/proxy/Counters.java
@@ -28,6 +28,8 @@
         TAKEN, SERVED, REFUSED, FAILED, OVERDUE, GONE,
         /** Connections opened to backends, and requests written to a kept one. */
         CONNECTS, REUSED,
+        /** Answers passed on as they came, as they are long; and request bodies. */
+        STREAMED, UPLOADED,
         /** Answers of backends that could not be read beyond doubt. */
         UNREADABLE,
         /** Attempts by their outcome, where that was not a good answer. */
--- a/src/main/java/dockrelay/proxy/RequestTable.java
+++ b/src/main/java/dockrelay/proxy/RequestTable.java
@@ -13,12 +13,17 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
@@ -68,6 +73,11 @@
     /** Where a request's one answer goes. */
     interface Reply {
         void answer(FullHttpResponse response);
+
+        /** A long answer begins, and is the reply's to pass on. */
+        default void begin(HttpResponse head, Body body) {
+            body.drop();
+        }
     }
 
     /** A backend as discovery has it; the address is null where the entry gives none. */
@@ -81,18 +91,21 @@
     private static final class Pending {
         final Request request;
         final FullHttpRequest message;
+        final Body body; // of a request that is passed on as it comes, else null
         final Reply reply;
-        final long deadline;
+        long deadline;
+        long wholeAt, beganAt;
+        BackendPool.Exchange streaming;
         final List<BackendPool.Exchange> attempts = new ArrayList<>(2);
         Future<?> timer;
         int out;
         boolean answered;
 
-        Pending(Request request, FullHttpRequest message, Reply reply, long deadline) {
+        Pending(Request request, FullHttpRequest message, Body body, Reply reply) {
             this.request = request;
             this.message = message;
+            this.body = body;
             this.reply = reply;
-            this.deadline = deadline;
         }
     }
 
@@ -170,13 +183,36 @@
 
     /** Takes a request whose last byte came just now. The message is this table's to keep. */
     void take(Request request, FullHttpRequest message, Reply reply) {
-        long now = clock.getAsLong();
-        Pending p = new Pending(request, message, reply, now + request.timeBudget());
-        pending.put(request.id(), p);
+        Pending p = new Pending(request, message, null, reply);
+        startTime(p);
+        take(p);
+    }
+
+    /** Takes a request of which more is to come; its time starts with {@link #whole}. */
+    void take(Request request, FullHttpRequest message, Body body, Reply reply) {
+        counters.add(Count.UPLOADED);
+        take(new Pending(request, message, body, reply));
+    }
+
+    private void take(Pending p) {
+        pending.put(p.request.id(), p);
         counters.add(Count.TAKEN);
-        long left = Math.max(0, answerBy(request.timeBudget()));
+        enter(p, () -> module.onRequest(clock.getAsLong(), p.request));
+    }
+
+    private void startTime(Pending p) {
+        p.wholeAt = clock.getAsLong();
+        p.deadline = p.wholeAt + p.request.timeBudget();
+        long left = Math.max(0, answerBy(p.request.timeBudget()));
         p.timer = loop.schedule(() -> overdue(p), left, TimeUnit.MICROSECONDS);
-        enter(p, () -> module.onRequest(now, request));
+    }
+
+    /** The last byte of a request that was taken before has come just now. */
+    void whole(String requestId) {
+        Pending p = pending.get(requestId);
+        if (p != null && !p.answered) {
+            startTime(p);
+        }
     }
 
     /** When attempts end, from the start of a request with this time budget. */
@@ -201,10 +237,14 @@
     /** The client closed its connection: nothing is owed any more. */
     void clientGone(String requestId) {
         Pending p = pending.get(requestId);
-        if (p != null && !p.answered) {
-            counters.add(Count.GONE);
-            conclude(p, null);
-            enter(p, () -> module.onClientGone(clock.getAsLong(), requestId));
+        if (p == null || p.answered && p.streaming == null) {
+            return;
+        }
+        counters.add(Count.GONE);
+        conclude(p, null);
+        enter(p, () -> module.onClientGone(clock.getAsLong(), requestId));
+        if (p.streaming != null) {
+            p.streaming.cancel();
         }
     }
 
@@ -231,7 +271,7 @@
             return;
         }
         p.answered = true;
-        p.timer.cancel(false);
+        stopTime(p);
         if (response != null) {
             counters.add(answer(response.status()));
             p.reply.answer(response);
@@ -239,6 +279,12 @@
         retire(p);
     }
 
+    private static void stopTime(Pending p) {
+        if (p.timer != null) {
+            p.timer.cancel(false);
+        }
+    }
+
     private static Count answer(HttpResponseStatus status) {
         if (status.equals(HttpResponseStatus.OK)) {
             return Count.SERVED;
@@ -249,21 +295,48 @@
     private void retire(Pending p) {
         if (p.answered && p.out == 0 && pending.remove(p.request.id(), p)) {
             p.message.release();
+            if (p.body != null) {
+                p.body.release();
+            }
             checkEmpty();
         }
     }
 
+    /** A long answer begins: the request is this attempt's from here on. */
+    private void began(Pending p, int attempt, long backend, long sentAt, HttpResponse head, Body body) {
+        if (p.answered) {
+            body.drop();
+            return;
+        }
+        p.answered = true;
+        stopTime(p);
+        p.beganAt = clock.getAsLong();
+        p.streaming = p.attempts.get(attempt);
+        counters.add(Count.SERVED);
+        p.reply.begin(head, body);
+        enter(p, () -> module.onStreamStart(clock.getAsLong(), p.request.id(), attempt, backend,
+            latency(p, sentAt, p.beganAt)));
+    }
+
+    /** How long the backend took; what the client took to send its request is not the backend's time. */
+    private static long latency(Pending p, long sentAt, long until) {
+        return Math.max(0, until - Math.max(sentAt, p.wholeAt));
+    }
+
     private void ended(Pending p, int attempt, long backend, long sentAt, Outcome outcome,
                        LoadReport report, FullHttpResponse response) {
-        if (outcome == Outcome.OK) {
+        if (outcome == Outcome.OK && response != null) {
             conclude(p, response);
         }
         boolean closed = p.answered;
         enter(p, () -> {
             long now = clock.getAsLong();
             p.out--;
-            module.onOutcome(now, p.request.id(), attempt, backend, outcome, now - sentAt,
-                closed || p.answered, report);
+            boolean streamed = p.streaming != null && p.streaming == p.attempts.get(attempt);
+            // While an answer is being passed on, the end of another attempt does not close the request.
+            boolean over = streamed || p.streaming == null && (closed || p.answered);
+            module.onOutcome(now, p.request.id(), attempt, backend, outcome,
+                latency(p, sentAt, streamed ? p.beganAt : now), over, report);
             retire(p);
         });
     }
@@ -277,26 +350,43 @@
         }
         int attempt = p.attempts.size();
         long now = clock.getAsLong();
-        long left = p.deadline - p.request.timeBudget() + attemptsUntil(p.request.timeBudget()) - now;
+        long left = attemptsUntil(p.request.timeBudget());
+        if (p.wholeAt > 0) {
+            left -= now - p.wholeAt;
+        }
         left = timeout == 0 ? left : Math.min(left, timeout);
-        if (p.answered || attempt >= maxAttempts) {
-            left = 0; // nothing goes out for a request that is over
+        if (p.answered || attempt >= maxAttempts || p.body != null && !p.body.isReplayable()) {
+            left = 0; // nothing goes out for a request that is over, or whose first bytes are gone
         }
         p.attempts.add(null);
         p.out++;
-        FullHttpRequest copy = outgoing(p.message, left);
-        BackendPool.Exchange exchange = pool.send(backend, copy, left,
-            (outcome, report, response) -> ended(p, attempt, backend, now, outcome, report, response));
+        BackendPool.Exchange exchange = pool.send(backend, outgoing(p, left), p.body, left,
+            new BackendPool.Listener() {
+                @Override
+                public void began(HttpResponse head, Body body) {
+                    RequestTable.this.began(p, attempt, backend, now, head, body);
+                }
+
+                @Override
+                public void ended(Outcome outcome, LoadReport report, FullHttpResponse response) {
+                    RequestTable.this.ended(p, attempt, backend, now, outcome, report, response);
+                }
+            });
         p.attempts.set(attempt, exchange);
     }
 
     /** The request as the backend gets it: all as it came but what is between the client and this proxy. */
-    private static FullHttpRequest outgoing(FullHttpRequest message, long left) {
-        FullHttpRequest copy = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, message.method(),
-            message.uri(), message.content().retainedDuplicate(), message.headers().copy(),
-            EmptyHttpHeaders.INSTANCE);
-        Headers.dropHopByHop(copy.headers());
-        if (message.content().isReadable() || !HttpMethod.GET.equals(message.method())) {
+    private static HttpRequest outgoing(Pending p, long left) {
+        FullHttpRequest message = p.message;
+        HttpHeaders headers = message.headers().copy();
+        HttpRequest copy = p.body != null
+            ? new DefaultHttpRequest(HttpVersion.HTTP_1_1, message.method(), message.uri(), headers)
+            : new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, message.method(), message.uri(),
+                message.content().retainedDuplicate(), headers, EmptyHttpHeaders.INSTANCE);
+        Headers.dropHopByHop(headers);
+        if (p.body != null) {
+            HttpUtil.setTransferEncodingChunked(copy, !HttpUtil.isContentLengthSet(message));
+        } else if (message.content().isReadable() || !HttpMethod.GET.equals(message.method())) {
             copy.headers().set(HttpHeaderNames.CONTENT_LENGTH, message.content().readableBytes());
         }
         copy.headers().set(Headers.TIMEOUT, String.format(Locale.ROOT, "%.6f", Math.max(0, left) / MICROS));
--- a/src/main/java/dockrelay/proxy/RequestTimeout.java
+++ b/src/main/java/dockrelay/proxy/RequestTimeout.java
@@ -1,5 +1,6 @@
 package dockrelay.proxy;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.util.concurrent.Future;
@@ -13,17 +14,20 @@
     /** The events it fires. */
     enum Late { NOTHING_CAME, NOT_WHOLE }
 
-    /** A peer is owed an answer or a close within 3 s; one without a request may be closed after 2. */
-    static final long MILLIS = 2_100;
+    /** A head may take 2 s, and a peer that sends no proper request is owed an answer or a close within 3. */
+    static final long MILLIS = 2_600;
+    /** A body may take as long as it lasts at 64 kB a second: each byte that comes puts the end off. */
+    private static final long BYTES_PER_MILLI = 64;
 
     private ChannelHandlerContext context;
     private Future<?> timer;
     private boolean partial;
+    private long bytes; // that came since the timer was set
 
     @Override
     public void channelActive(ChannelHandlerContext active) {
         context = active;
-        arm();
+        arm(MILLIS);
         active.fireChannelActive();
     }
 
@@ -34,15 +38,16 @@
     }
 
     @Override
-    public void channelRead(ChannelHandlerContext reading, Object bytes) {
+    public void channelRead(ChannelHandlerContext reading, Object bytesOf) {
         partial = true;
-        reading.fireChannelRead(bytes);
+        bytes += bytesOf instanceof ByteBuf buffer ? buffer.readableBytes() : 0;
+        reading.fireChannelRead(bytesOf);
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext reading) {
         if (partial && timer == null) {
-            arm();
+            arm(MILLIS);
         }
         reading.fireChannelReadComplete();
     }
@@ -53,11 +58,17 @@
         disarm();
     }
 
-    private void arm() {
+    private void arm(long millis) {
+        bytes = 0;
         timer = context.executor().schedule(() -> {
             timer = null;
+            boolean held = !context.channel().config().isAutoRead(); // this side does not read
+            if (held || bytes >= BYTES_PER_MILLI) {
+                arm(held ? MILLIS : bytes / BYTES_PER_MILLI);
+                return;
+            }
             context.fireUserEventTriggered(partial ? Late.NOT_WHOLE : Late.NOTHING_CAME);
-        }, MILLIS, TimeUnit.MILLISECONDS);
+        }, millis, TimeUnit.MILLISECONDS);
     }
 
     private void disarm() {
--- a/src/main/java/dockrelay/proxy/ResponseDecoder.java
+++ b/src/main/java/dockrelay/proxy/ResponseDecoder.java
@@ -17,7 +17,8 @@
 
 /**
  * Reads answers whose end is beyond doubt (RFC 9112, 6.3), and marks all others as failed: a body that lasts
- * until the connection ends may have been cut short, and one with more behind it is not as long as was said.
+ * until the connection ends, without a word of that in its head, may have been cut short, and one with more
+ * behind it is not as long as was said.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
     private boolean interim;
@@ -71,7 +72,9 @@
         if (codings.isEmpty()) {
             boolean bodiless = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
                 || head.status().code() == 204 || head.status().code() == 304;
-            return bodiless || HttpUtil.isContentLengthSet(head) ? null : "no length";
+            // Where the end of the connection is said to be that of the body, only a reset cuts it short.
+            boolean untilClose = !HttpUtil.isKeepAlive(head);
+            return bodiless || untilClose || HttpUtil.isContentLengthSet(head) ? null : "no length";
         }
         boolean plain = codings.size() == 1
             && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0));
--- a/src/main/java/dockrelay/proxy/WarmUp.java
+++ b/src/main/java/dockrelay/proxy/WarmUp.java
@@ -102,7 +102,7 @@
                 @Override
                 protected void initChannel(Channel channel) {
                     channel.pipeline().addLast(new HttpClientCodec(),
-                        new HttpObjectAggregator(BackendPool.MOST_BODY), new Asking());
+                        new HttpObjectAggregator(BackendPool.MOST_WHOLE), new Asking());
                 }
             }).connect(front);
         }
@@ -115,7 +115,7 @@
                 @Override
                 protected void initChannel(Channel channel) {
                     channel.pipeline().addLast(new HttpServerCodec(),
-                        new HttpObjectAggregator(BackendPool.MOST_BODY), new Answering());
+                        new HttpObjectAggregator(BackendPool.MOST_WHOLE), new Answering());
                 }
             }).bind(back);
     }
