--- a/src/main/java/dockrelay/proxy/WarmUp.java
+++ b/src/main/java/dockrelay/proxy/WarmUp.java
@@ -16,12 +16,17 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.ServerChannel;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.local.LocalAddress;
 import io.netty.channel.local.LocalChannel;
 import io.netty.channel.local.LocalIoHandler;
 import io.netty.channel.local.LocalServerChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioDomainSocketChannel;
+import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -33,6 +38,12 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.net.UnixDomainSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -40,12 +51,15 @@
 import java.util.function.LongSupplier;
 
 /**
- * Takes made-up requests through a second set of the proxy's own parts, over channels inside this process.
+ * Takes made-up requests through a second set of the proxy's own parts: over sockets in a folder of this
+ * process where there can be such ones, as the code of sockets is to be warm too, else in memory.
  * Guards against the first seconds of service: unloaded classes and interpreted code took whole cores then.
  */
 final class WarmUp {
-    /** Past the light compiler's threshold (200 calls) for what each request runs through, and no more. */
-    static final int REQUESTS = 400;
+    /** Past the light compiler's threshold for what each connection runs through, and no more. */
+    static final int REQUESTS = 240;
+    /** Connections come and go as well. */
+    static final int REQUESTS_EACH = 4;
     private static final int CLIENTS = 8;
     private static final int BACKENDS = 8;
     private static final long MOST_MILLIS = 3_000;
@@ -53,26 +67,76 @@
 
     private final Config config;
     private final EventLoop loop;
-    private final LocalAddress front = new LocalAddress(WarmUp.class);
-    private final LocalAddress back = new LocalAddress(WarmUp.class);
+    private final Transport transport;
     private final CountDownLatch over = new CountDownLatch(1);
+    private Bootstrap asking;
     private int asked, answered;
+    private volatile boolean failed;
 
-    private WarmUp(Config config, EventLoop loop) {
+    /** What the channels are, and where clients and backends meet the proxy. */
+    private record Transport(IoHandlerFactory handlers, Class<? extends Channel> channel,
+                             Class<? extends ServerChannel> server, SocketAddress front, SocketAddress back) {
+        static Transport memory() {
+            return new Transport(LocalIoHandler.newFactory(), LocalChannel.class, LocalServerChannel.class,
+                new LocalAddress(WarmUp.class), new LocalAddress(WarmUp.class));
+        }
+
+        static Transport sockets(Path folder) {
+            return new Transport(NioIoHandler.newFactory(), NioDomainSocketChannel.class,
+                NioServerDomainSocketChannel.class, UnixDomainSocketAddress.of(folder.resolve("front")),
+                UnixDomainSocketAddress.of(folder.resolve("back")));
+        }
+    }
+
+    private WarmUp(Config config, EventLoop loop, Transport transport) {
         this.config = config;
         this.loop = loop;
+        this.transport = transport;
+    }
+
+    /** Returns whether it ran over sockets. */
+    static boolean run(Config config, ByteBufAllocator buffers) {
+        Path folder = null;
+        boolean warm = false;
+        try {
+            folder = Files.createTempDirectory(Path.of(System.getProperty("java.io.tmpdir")), "warm");
+            warm = run(config, buffers, Transport.sockets(folder));
+        } catch (IOException | RuntimeException e) {
+            Log.error("warm-up", e); // no place for sockets: it goes on without
+        } finally {
+            delete(folder);
+        }
+        if (!warm) {
+            run(config, buffers, Transport.memory());
+        }
+        return warm;
+    }
+
+    private static void delete(Path folder) {
+        if (folder == null) {
+            return;
+        }
+        try {
+            Files.deleteIfExists(folder.resolve("front"));
+            Files.deleteIfExists(folder.resolve("back"));
+            Files.deleteIfExists(folder);
+        } catch (IOException e) {
+            Log.error("warm-up", e); // two names in a private folder are left over
+        }
     }
 
-    static void run(Config config, ByteBufAllocator buffers) {
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
-        WarmUp warmUp = new WarmUp(config, group.next());
+    private static boolean run(Config config, ByteBufAllocator buffers, Transport transport) {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, transport.handlers);
+        WarmUp warmUp = new WarmUp(config, group.next(), transport);
         try {
             group.submit(() -> warmUp.start(buffers)).syncUninterruptibly();
-            warmUp.over.await(MOST_MILLIS, TimeUnit.MILLISECONDS);
+            return warmUp.over.await(MOST_MILLIS, TimeUnit.MILLISECONDS) && !warmUp.failed;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+            return true;
         } catch (RuntimeException e) {
             Log.error("warm-up", e); // a cold proxy serves as well, only slower at first
+            return false;
         } finally {
             group.shutdownGracefully(0, 1_000, TimeUnit.MILLISECONDS);
         }
@@ -80,7 +144,7 @@
 
     private void start(ByteBufAllocator buffers) {
         LongSupplier clock = () -> System.nanoTime() / 1000;
-        Bootstrap template = new Bootstrap().group(loop).channel(LocalChannel.class)
+        Bootstrap template = new Bootstrap().group(loop).channel(transport.channel)
             .option(ChannelOption.ALLOCATOR, buffers);
         Counters counters = new Counters();
         BackendPool pool = new BackendPool(template, loop, BACKENDS * CLIENTS, BUDGET, BUDGET, counters);
@@ -90,26 +154,35 @@
         List<RequestTable.Member> members = new ArrayList<>();
         for (long id = 0; id < BACKENDS; id++) {
             members.add(new RequestTable.Member(
-                new Backend(id, config.settings().zone(), "", 0, Phase.READY, 1, 0), back));
+                new Backend(id, config.settings().zone(), "", 0, Phase.READY, 1, 0), transport.back));
         }
         table.members(ListScope.CACHED, members);
-        ServerBootstrap listening = new ServerBootstrap().group(loop).channel(LocalServerChannel.class)
+        ServerBootstrap listening = new ServerBootstrap().group(loop).channel(transport.server)
             .childOption(ChannelOption.ALLOCATOR, buffers);
         new ClientSide(table, config.settings().classes(), CLIENTS * 2, () -> true, counters)
-            .listen(listening, front);
+            .listen(listening, transport.front).addListener(this::listens);
+        asking = template.clone().handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new HttpClientCodec(),
+                    new HttpObjectAggregator(BackendPool.MOST_WHOLE), new Asking());
+            }
+        });
         for (int i = 0; i < CLIENTS; i++) {
-            template.clone().handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new HttpClientCodec(),
-                        new HttpObjectAggregator(BackendPool.MOST_WHOLE), new Asking());
-                }
-            }).connect(front);
+            asking.connect(transport.front);
+        }
+    }
+
+    /** Without a listener nothing would ever be over. */
+    private void listens(Future<?> bound) {
+        if (!bound.isSuccess()) {
+            failed = true;
+            over.countDown();
         }
     }
 
     private void listen(ByteBufAllocator buffers) {
-        new ServerBootstrap().group(loop).channel(LocalServerChannel.class)
+        new ServerBootstrap().group(loop).channel(transport.server)
             .childOption(ChannelOption.ALLOCATOR, buffers)
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
@@ -117,11 +190,13 @@
                     channel.pipeline().addLast(new HttpServerCodec(),
                         new HttpObjectAggregator(BackendPool.MOST_WHOLE), new Answering());
                 }
-            }).bind(back);
+            }).bind(transport.back).addListener(this::listens);
     }
 
     /** A client that asks again once it is answered. */
     private final class Asking extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private int here;
+
         @Override
         public void channelActive(ChannelHandlerContext context) {
             ask(context);
@@ -144,6 +219,9 @@
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
             if (++answered == REQUESTS) {
                 over.countDown();
+            } else if (++here == REQUESTS_EACH) {
+                context.close();
+                asking.connect(transport.front);
             } else if (answered < REQUESTS) {
                 loop.execute(() -> ask(context)); // a socket's answer never comes from within the asking
             }
@@ -165,5 +243,10 @@
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 64);
             context.executor().execute(() -> context.writeAndFlush(response));
         }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close(); // the loser of two copies is called off
+        }
     }
 }
