--- a/src/main/java/dockrelay/proxy/ClientSide.java
+++ b/src/main/java/dockrelay/proxy/ClientSide.java
@@ -64,6 +64,11 @@
     /** ...and after one that came before its request was whole: what is on its way is read first. */
     private static final long LINGER_UPLOAD_MILLIS = 2_500;
     private static final long MOST_BODY = 32 << 20;
+    /**
+     * Short of places, one that was silent this long within a request, or before its first, makes room. A
+     * slow client, with 2 s for a head, is heard of in between; one that holds a place for nothing is not.
+     */
+    private static final long QUIET_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
     private static final int LONGEST_ID = 128;
     private static final Pattern SECONDS = Pattern.compile("\\d{1,4}(\\.\\d{0,9})?|\\.\\d{1,9}");
     private static final Pattern WHOLE_MICROS = Pattern.compile("\\d{1,12}(\\.\\d{0,9})?");
@@ -190,9 +195,31 @@
 
     private void evict() {
         evicting = false;
-        if (connections.size() >= most && !idle.isEmpty()) {
+        if (connections.size() < most || !listener.isRegistered()) {
+            return;
+        }
+        if (!idle.isEmpty()) {
             counters.add(Count.EVICTED);
             idle.iterator().next().channel.close();
+            return;
+        }
+        Connection quietest = null;
+        for (Connection connection : connections) {
+            if (connection.isWaiting() && (quietest == null
+                || connection.timeout.heardAt() - quietest.timeout.heardAt() < 0)) {
+                quietest = connection;
+            }
+        }
+        if (quietest == null) {
+            return; // all are in use
+        }
+        long left = quietest.timeout.heardAt() + QUIET_NANOS - System.nanoTime();
+        if (left <= 0) {
+            counters.add(Count.EVICTED);
+            quietest.channel.close();
+        } else {
+            evicting = true;
+            listener.eventLoop().schedule(this::evict, left, TimeUnit.NANOSECONDS);
         }
     }
 
@@ -540,6 +567,11 @@
                 ? Math.min(asked, TimeUnit.NANOSECONDS.toMicros(lastAnswer - System.nanoTime())) : asked;
         }
 
+        /** Whether no request of this one is in hand: its peer has sent none, or only a part of one. */
+        private boolean isWaiting() {
+            return inHand == null && !ending;
+        }
+
         private HttpResponseStatus unparsable(Throwable cause) {
             if (cause instanceof TooLongHttpLineException) {
                 return HttpResponseStatus.REQUEST_URI_TOO_LONG;
--- a/src/main/java/dockrelay/proxy/Proxy.java
+++ b/src/main/java/dockrelay/proxy/Proxy.java
@@ -27,8 +27,11 @@
 public final class Proxy {
     /** Descriptors that are neither clients' nor backends': the runtime's files, listener, discovery. */
     private static final int SPARE_DESCRIPTORS = 32;
-    /** Each request in hand has one client and, with its copies and hedges, more than one backend. */
-    private static final double CLIENTS_SHARE = 0.4;
+    /**
+     * Clients hold a third of all descriptors for their requests; the rest of this share is for those who
+     * hold one for nothing until they are sent away. Backends have connections in the number of requests in hand.
+     */
+    private static final double CLIENTS_SHARE = 0.65;
     /** Holds a burst of new connections while the loop is busy for a moment. */
     private static final int BACKLOG = 1024;
     /** After SIGTERM new connections go on coming for up to 0.4 s; none is turned away. */
--- a/src/main/java/dockrelay/proxy/RequestTimeout.java
+++ b/src/main/java/dockrelay/proxy/RequestTimeout.java
@@ -22,6 +22,7 @@
     private ChannelHandlerContext context;
     private Future<?> timer;
     private boolean partial;
+    private long heardAt = System.nanoTime();
     private long bytes; // that came since the timer was set
 
     @Override
@@ -40,6 +41,7 @@
     @Override
     public void channelRead(ChannelHandlerContext reading, Object bytesOf) {
         partial = true;
+        heardAt = System.nanoTime();
         bytes += bytesOf instanceof ByteBuf buffer ? buffer.readableBytes() : 0;
         reading.fireChannelRead(bytesOf);
     }
@@ -52,6 +54,11 @@
         reading.fireChannelReadComplete();
     }
 
+    /** When its peer was heard of last, by the nano clock. */
+    long heardAt() {
+        return heardAt;
+    }
+
     /** A request has arrived whole. */
     void arrived() {
         partial = false;
