Herds: wait for discovery with full jitter, from the seed

The wait after a failed call was at least half of its bound, and without jitter where lists are pushed: proxies killed together called nearly in step.

--- a/src/main/java/dockrelay/RiqBalancer.java
+++ b/src/main/java/dockrelay/RiqBalancer.java
@@ -378,7 +378,7 @@
         }
     }
 
-    /** Subscribes once, and again after a failure with a growing, jittered wait: discovery is shared. */
+    /** Subscribes once, and after failures within waits that grow: discovery is shared. */
     private void followDiscovery(ListScope scope) {
         double within = settings.rules().askWithin();
         asking = asking && scope == ListScope.CACHED;
@@ -388,7 +388,8 @@
             subscribed = false;
             failedAsks = Math.min(failedAsks + 1, 4);
             double wait = within * FIRST_ASK_SHARE * 0.5 * (1 << (failedAsks - 1));
-            actions.setTimer((long) (Math.min(wait, within) * (0.5 + uniform() / 2)), SUBSCRIBE_TOKEN);
+            // Guards against proxies that were killed together calling together: all of the wait is chance.
+            actions.setTimer((long) (Math.min(wait, within) * uniform()), SUBSCRIBE_TOKEN);
         } else {
             subscribed = true;
             failedAsks = 0;
--- a/src/main/java/dockrelay/proxy/Discovery.java
+++ b/src/main/java/dockrelay/proxy/Discovery.java
@@ -62,13 +62,14 @@
     private final Operators operators;
     private volatile boolean anyReady;
     private long version = -1;
-    private long backoff = FIRST_BACKOFF_MILLIS;
+    private final Backoff backoff;
     private final CountDownLatch listed = new CountDownLatch(1);
     private Channel watch;
     private boolean closed;
 
     Discovery(Bootstrap template, EventLoop loop, Config config, RequestTable table, Operators operators) {
         this.operators = operators;
+        this.backoff = new Backoff(FIRST_BACKOFF_MILLIS, MOST_BACKOFF_MILLIS, config.seed());
         this.loop = loop;
         this.address = config.discovery();
         this.asked = config.settings().askedDiscovery();
@@ -154,7 +155,7 @@
             Log.line("discovery", "moves from " + address + " to " + to);
             address = to;
             version = -1;
-            backoff = FIRST_BACKOFF_MILLIS;
+            backoff.reset();
             subscribe();
         }
     }
@@ -168,8 +169,7 @@
         if (asked) {
             table.members(ListScope.FAILED, List.of());
         } else {
-            loop.schedule(this::subscribe, backoff, TimeUnit.MILLISECONDS);
-            backoff = Math.min(MOST_BACKOFF_MILLIS, backoff * 2);
+            loop.schedule(this::subscribe, backoff.next(), TimeUnit.MILLISECONDS);
         }
     }
 
@@ -183,7 +183,7 @@
         if (told < version) {
             return; // an older watch's word: what is newer stands
         }
-        backoff = FIRST_BACKOFF_MILLIS;
+        backoff.reset();
         boolean full = Boolean.TRUE.equals(update.get("full"));
         List<RequestTable.Member> members = members(Config.list(update, "servers"));
         String kind = full ? "list of version " : "changes to version ";
--- a/src/test/java/dockrelay/RulesTest.java
+++ b/src/test/java/dockrelay/RulesTest.java
@@ -184,6 +184,26 @@
         assertEquals(last, host.subscriptions);
     }
 
+    @Test
+    void callsAfterAFailureAreSpreadOverAllOfTheWait() {
+        double least = Double.MAX_VALUE;
+        double most = 0;
+        for (int seed = 0; seed < 60; seed++) {
+            Host host = Host.of(Host.settings(Host.limits(), true, List.of()), seed);
+            host.fleet(3);
+            host.pass(2 * Host.SECOND);
+            host.balancer.onMembers(host.now, ListScope.FAILED, List.of());
+            double waited = 0;
+            while (host.subscriptions < 2) {
+                host.pass(10 * Host.MS);
+                waited++;
+            }
+            least = Math.min(least, waited);
+            most = Math.max(most, waited);
+        }
+        assertTrue(least < most / 5, least + " to " + most);
+    }
+
     @Test
     void aColdBackendGetsNoMoreThanItsPartOfTheFallBudget() {
         Host host = Host.usual().fleet(4);
