--- a/src/main/java/dockrelay/proxy/BackendPool.java
+++ b/src/main/java/dockrelay/proxy/BackendPool.java
@@ -50,8 +50,6 @@
     /** A kept connection is dropped this share of its idle time before the backend may drop it. */
     private static final double IDLE_SHARE = 0.85;
     private static final long SWEEP_MICROS = 500_000;
-    /** A longer message is passed on as it comes. */
-    static final int MOST_WHOLE = 64 * 1024;
     /** An answer of unknown length is held for this part of its time at most, to see whether it is short. */
     private static final long HELD_PART = 8;
     /** Peers take seconds to read or write, and no longer: what stands still keeps its place from others. */
@@ -61,6 +59,7 @@
     private final Bootstrap bootstrap;
     private final EventLoop loop;
     private final Counters counters;
+    private final Buffers buffers;
     private final int fullMost;
     private int most;
     private final long idleNanos;
@@ -84,7 +83,8 @@
     }
 
     BackendPool(Bootstrap template, EventLoop loop, int most, long connectTimeout, long connectionIdle,
-                Counters counters) {
+                Counters counters, Buffers buffers) {
+        this.buffers = buffers;
         this.loop = loop;
         this.counters = counters;
         counters.gauge("backend-connections", () -> connections);
@@ -93,6 +93,8 @@
         this.idleNanos = (long) (connectionIdle * IDLE_SHARE * 1000);
         this.bootstrap = template.clone()
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (connectTimeout / 1000))
+            .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Buffers.WATER_MARKS)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, Buffers.reads())
             .handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
@@ -401,6 +403,7 @@
         private HttpResponse head;
         private ByteBuf gathered;
         private Body body;
+        private Buffers.Reading intake;
         private long idleSince;
         private boolean reading;
 
@@ -435,7 +438,7 @@
         private void begin(HttpResponse start) {
             head = start;
             boolean good = start.status().code() == 200;
-            if (good && HttpUtil.getContentLength(start, 0L) > MOST_WHOLE) {
+            if (good && HttpUtil.getContentLength(start, 0L) > buffers.mostWhole()) {
                 stream();
             } else if (good && !HttpUtil.isContentLengthSet(start)) {
                 // Nobody knows how much is to come: its first bytes must not wait for the rest too long.
@@ -448,9 +451,16 @@
             }
         }
 
+        private Buffers.Reading reading() {
+            if (intake == null) {
+                intake = buffers.new Reading(channel);
+            }
+            return intake;
+        }
+
         /** From here on the answer is passed on as it comes. */
         private void stream() {
-            body = new Body(this, MOST_WHOLE);
+            body = new Body(this, Buffers.MOST_WHOLE);
             if (gathered != null) {
                 body.add(new DefaultHttpContent(gathered));
                 gathered = null;
@@ -471,10 +481,11 @@
                     finish(context, whole, content);
                 } else {
                     whole.add(content);
+                    reading().read();
                 }
             } else {
                 gathered = Body.gather(gathered, content, channel.alloc());
-                boolean tooLong = gathered != null && gathered.readableBytes() > MOST_WHOLE;
+                boolean tooLong = gathered != null && gathered.readableBytes() > buffers.mostWhole();
                 if (last) {
                     finish(context);
                 } else if (tooLong && head.status().code() == 200) {
@@ -517,6 +528,7 @@
             body = null;
             reading = true;
             if (keep) {
+                reading().end();
                 channel.config().setAutoRead(true);
                 idleSince = System.nanoTime();
                 peer.idle.addLast(this);
@@ -528,7 +540,7 @@
         @Override
         public void flow(boolean on) {
             if (current != null) {
-                channel.config().setAutoRead(on);
+                reading().flow(on);
             }
         }
 
--- a/src/main/java/dockrelay/proxy/ClientSide.java
+++ b/src/main/java/dockrelay/proxy/ClientSide.java
@@ -79,6 +79,7 @@
 
     private final RequestTable table;
     private final Counters counters;
+    private final Buffers buffers;
     private final int fullMost;
     private int most;
     private final BooleanSupplier ready;
@@ -91,7 +92,8 @@
     private Runnable whenEmpty;
 
     ClientSide(RequestTable table, Iterable<ServiceClass> classes, int most, BooleanSupplier ready,
-               Counters counters) {
+               Counters counters, Buffers buffers) {
+        this.buffers = buffers;
         this.table = table;
         this.counters = counters;
         counters.gauge("clients", connections::size);
@@ -105,7 +107,9 @@
 
     /** Listens at an address; with none, the bootstrap's channel is a listening socket as it comes. */
     ChannelFuture listen(ServerBootstrap bootstrap, SocketAddress address) {
-        bootstrap.childHandler(new ChannelInitializer<Channel>() {
+        bootstrap.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Buffers.WATER_MARKS)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, Buffers.reads())
+            .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
                     RequestTimeout timeout = new RequestTimeout();
@@ -253,6 +257,7 @@
         private ByteBuf gathered;
         private long received;
         private Body upload; // of the request that is coming in, where it is passed on as it comes
+        private Buffers.Reading reading; // of the upload
         private Body answer; // that is passed on as it comes
         private String inHand;
         private long restingSince;
@@ -389,7 +394,7 @@
                 channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                     HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
-            if (HttpUtil.getContentLength(start, 0L) > BackendPool.MOST_WHOLE) {
+            if (HttpUtil.getContentLength(start, 0L) > buffers.mostWhole()) {
                 stream();
             }
         }
@@ -409,12 +414,17 @@
                     table.whole(inHand);
                 }
                 body.add(content);
+                if (whole) {
+                    reading.end();
+                } else {
+                    reading.read();
+                }
             } else {
                 gathered = Body.gather(gathered, content, channel.alloc());
                 if (whole) {
                     timeout.arrived();
                     accept();
-                } else if (received > BackendPool.MOST_WHOLE) {
+                } else if (received > buffers.mostWhole()) {
                     stream();
                 }
             }
@@ -451,7 +461,8 @@
                 improper(wrong, null);
                 return;
             }
-            Body body = new Body(this, BackendPool.MOST_WHOLE);
+            reading = buffers.new Reading(channel);
+            Body body = new Body(this, Buffers.MOST_WHOLE);
             if (gathered != null) {
                 body.add(new DefaultHttpContent(gathered));
                 gathered = null;
@@ -665,6 +676,7 @@
                 if (upload != null) {
                     upload.release();
                     upload = null;
+                    reading.end();
                     channel.config().setAutoRead(true);
                 }
                 written.addListener((ChannelFutureListener) done -> endSending());
@@ -708,7 +720,7 @@
 
         @Override
         public void flow(boolean on) {
-            channel.config().setAutoRead(on);
+            reading.flow(on);
         }
 
         @Override
--- a/src/main/java/dockrelay/proxy/Config.java
+++ b/src/main/java/dockrelay/proxy/Config.java
@@ -14,9 +14,9 @@
 
 /** What the proxy is told at its start. Times are in microseconds. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-              Map<?, ?> known, Settings settings, long connectTimeout, long connectionIdle,
-              boolean retryAfter, InetSocketAddress console,
-              InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll) {
+              int memory, Map<?, ?> known, Settings settings, long connectTimeout, long connectionIdle,
+              boolean retryAfter, InetSocketAddress console, InetSocketAddress peerListen,
+              List<InetSocketAddress> peers, InetSocketAddress peersAll) {
     private static final double MICROS = 1_000_000;
 
     static Config read(Path file) throws IOException {
@@ -35,6 +35,7 @@
         Map<?, ?> allowed = map(settings, "Permissions");
         return new Config(text(top, "name"), address(text(top, "listen")), address(text(top, "discovery")),
             Long.parseUnsignedLong(text(top, "seed"), 16), (int) number(map(top, "limits"), "sockets", 1024),
+            (int) number(map(top, "limits"), "memory_mb", 192),
             map(top, "known"), SettingsReader.read(settings),
             (long) (number(allowed, "ConnectTimeout", 0.25) * MICROS),
             (long) (number(allowed, "ConnIdle", 15) * MICROS),
--- a/src/main/java/dockrelay/proxy/Proxy.java
+++ b/src/main/java/dockrelay/proxy/Proxy.java
@@ -29,7 +29,7 @@
     private static final int SPARE_DESCRIPTORS = 32;
     /**
      * Clients hold a third of all descriptors for their requests; the rest of this share is for those who
-     * hold one for nothing until they are sent away. Backends have connections in the number of requests in hand.
+     * hold one for nothing until they are sent away. Backends have about one for each request in hand.
      */
     private static final double CLIENTS_SHARE = 0.65;
     /** Holds a burst of new connections while the loop is busy for a moment. */
@@ -84,8 +84,9 @@
             .option(ChannelOption.ALLOCATOR, buffers).option(ChannelOption.TCP_NODELAY, true);
         room = Math.max(2, config.sockets() - SPARE_DESCRIPTORS);
         int fromClients = Math.max(1, (int) (room * CLIENTS_SHARE));
+        Buffers bound = Buffers.of(buffers, config.memory());
         pool = new BackendPool(sockets, loop, room - fromClients, config.connectTimeout(),
-            config.connectionIdle(), counters);
+            config.connectionIdle(), counters, bound);
         table = new RequestTable(loop, pool, clock, config, counters);
         operators = new Operators(platform.console() == null ? null : platform.folder());
         discovery = new Discovery(sockets, loop, config, table, operators);
@@ -95,7 +96,7 @@
         }
         table.attach(new RiqBalancer(config.settings(), config.seed(), table), discovery::subscribe, tell);
         clients = new ClientSide(table, config.settings().classes(), fromClients, this::ready,
-            counters);
+            counters, bound);
         loop.execute(() -> discovery.start(config.known()));
         console = platform.console() == null ? null
             : new Console(platform.console(), operators, () -> accepting && ready(), this::enforce);
@@ -119,9 +120,9 @@
         if (shared) {
             awaitList();
         }
-        ChannelFuture bound = loop.submit(() -> clients.listen(listening, shared ? null : config.listen()))
+        ChannelFuture listens = loop.submit(() -> clients.listen(listening, shared ? null : config.listen()))
             .syncUninterruptibly().getNow();
-        bound.syncUninterruptibly();
+        listens.syncUninterruptibly();
         accepting = true;
         loop.execute(this::count);
         Log.line("start", config.name() + " listens at " + config.listen() + (shared ? ", shared" : ""));
--- a/src/main/java/dockrelay/proxy/WarmUp.java
+++ b/src/main/java/dockrelay/proxy/WarmUp.java
@@ -41,7 +41,10 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.net.StandardProtocolFamily;
 import java.net.UnixDomainSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -100,7 +103,7 @@
         boolean warm = false;
         try {
             folder = Files.createTempDirectory(Path.of(System.getProperty("java.io.tmpdir")), "warm");
-            warm = run(config, buffers, Transport.sockets(folder));
+            warm = meet(folder.resolve("trial")) && run(config, buffers, Transport.sockets(folder));
         } catch (IOException | RuntimeException e) {
             Log.error("warm-up", e); // no place for sockets: it goes on without
         } finally {
@@ -112,6 +115,24 @@
         return warm;
     }
 
+    /** Whether two such sockets meet at all: where they do not, waiting for it would delay the start. */
+    private static boolean meet(Path name) throws IOException {
+        try (ServerSocketChannel server = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
+             SocketChannel client = SocketChannel.open(StandardProtocolFamily.UNIX)) {
+            UnixDomainSocketAddress address = UnixDomainSocketAddress.of(name);
+            server.bind(address).configureBlocking(false);
+            client.configureBlocking(false);
+            if (!client.connect(address)) {
+                return false;
+            }
+            try (SocketChannel accepted = server.accept()) {
+                return accepted != null;
+            }
+        } finally {
+            Files.deleteIfExists(name);
+        }
+    }
+
     private static void delete(Path folder) {
         if (folder == null) {
             return;
@@ -147,7 +168,9 @@
         Bootstrap template = new Bootstrap().group(loop).channel(transport.channel)
             .option(ChannelOption.ALLOCATOR, buffers);
         Counters counters = new Counters();
-        BackendPool pool = new BackendPool(template, loop, BACKENDS * CLIENTS, BUDGET, BUDGET, counters);
+        Buffers bound = new Buffers(() -> 0, config.memory());
+        BackendPool pool = new BackendPool(template, loop, BACKENDS * CLIENTS, BUDGET, BUDGET, counters,
+            bound);
         RequestTable table = new RequestTable(loop, pool, clock, config, counters);
         table.attach(new RiqBalancer(config.settings(), config.seed(), table), () -> { }, message -> { });
         listen(buffers);
@@ -159,13 +182,13 @@
         table.members(ListScope.CACHED, members);
         ServerBootstrap listening = new ServerBootstrap().group(loop).channel(transport.server)
             .childOption(ChannelOption.ALLOCATOR, buffers);
-        new ClientSide(table, config.settings().classes(), CLIENTS * 2, () -> true, counters)
+        new ClientSide(table, config.settings().classes(), CLIENTS * 2, () -> true, counters, bound)
             .listen(listening, transport.front).addListener(this::listens);
         asking = template.clone().handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline().addLast(new HttpClientCodec(),
-                    new HttpObjectAggregator(BackendPool.MOST_WHOLE), new Asking());
+                    new HttpObjectAggregator(Buffers.MOST_WHOLE), new Asking());
             }
         });
         for (int i = 0; i < CLIENTS; i++) {
@@ -188,7 +211,7 @@
                 @Override
                 protected void initChannel(Channel channel) {
                     channel.pipeline().addLast(new HttpServerCodec(),
-                        new HttpObjectAggregator(BackendPool.MOST_WHOLE), new Answering());
+                        new HttpObjectAggregator(Buffers.MOST_WHOLE), new Answering());
                 }
             }).bind(transport.back).addListener(this::listens);
     }
--- /dev/null
+++ b/src/test/java/dockrelay/proxy/BuffersTest.java
@@ -0,0 +1,52 @@
+package dockrelay.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class BuffersTest {
+    private static final int LIMIT = 144;
+    private long used;
+    private final Buffers buffers = new Buffers(() -> used, LIMIT);
+
+    @Test
+    void theBoundIsAPartOfTheLimitAndBeyondItOnlyShortMessagesAreKeptWhole() {
+        used = (LIMIT << 20) / 8 - 1;
+        assertEquals(Buffers.MOST_WHOLE, buffers.mostWhole());
+        used++;
+        assertFalse(buffers.hasRoom());
+        assertTrue(buffers.mostWhole() < Buffers.MOST_WHOLE);
+    }
+
+    @Test
+    void whatIsWantedIsReadAgainOnceThereIsRoom() {
+        EmbeddedChannel channel = new EmbeddedChannel();
+        channel.freezeTime();
+        Buffers.Reading reading = buffers.new Reading(channel);
+        reading.flow(true);
+        assertTrue(channel.config().isAutoRead());
+        used = Long.MAX_VALUE;
+        reading.read();
+        assertFalse(channel.config().isAutoRead(), "no room for what comes next");
+        pass(channel);
+        assertFalse(channel.config().isAutoRead());
+        used = 0;
+        pass(channel);
+        assertTrue(channel.config().isAutoRead());
+        used = Long.MAX_VALUE;
+        reading.flow(true);
+        reading.flow(false);
+        used = 0;
+        pass(channel);
+        assertFalse(channel.config().isAutoRead(), "nobody takes more");
+    }
+
+    private static void pass(EmbeddedChannel channel) {
+        channel.advanceTimeBy(1, TimeUnit.SECONDS);
+        channel.runScheduledPendingTasks();
+    }
+}
--- a/src/test/java/dockrelay/proxy/RequestTableTest.java
+++ b/src/test/java/dockrelay/proxy/RequestTableTest.java
@@ -32,7 +32,8 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Config config = Fakes.config(1, 1024);
     private final BackendPool pool = new BackendPool(new Bootstrap().group(group)
-        .channel(NioSocketChannel.class), group.next(), 8, 500_000, 15_000_000, new Counters());
+        .channel(NioSocketChannel.class), group.next(), 8, 500_000, 15_000_000, new Counters(),
+        new Buffers(() -> 0, 144));
     private final RequestTable table =
         new RequestTable(group.next(), pool, () -> System.nanoTime() / 1000, config, new Counters());
     private final List<FullHttpResponse> answers = new CopyOnWriteArrayList<>();
