--- a/src/main/java/dockrelay/proxy/WarmUp.java
+++ b/src/main/java/dockrelay/proxy/WarmUp.java
@@ -97,12 +97,18 @@
         this.transport = transport;
     }
 
-    /** Returns whether it ran over sockets. */
-    static boolean run(Config config, ByteBufAllocator buffers) {
+    /** Only $TMPDIR can be written to in service. */
+    static void run(Config config, ByteBufAllocator buffers) {
+        String folder = System.getenv("TMPDIR");
+        run(config, buffers, Path.of(folder == null ? System.getProperty("java.io.tmpdir") : folder));
+    }
+
+    /** Returns whether it ran over sockets, in a folder below this one. */
+    static boolean run(Config config, ByteBufAllocator buffers, Path parent) {
         Path folder = null;
         boolean warm = false;
         try {
-            folder = Files.createTempDirectory(Path.of(System.getProperty("java.io.tmpdir")), "warm");
+            folder = Files.createTempDirectory(parent, "warm");
             warm = meet(folder.resolve("trial")) && run(config, buffers, Transport.sockets(folder));
         } catch (IOException | RuntimeException e) {
             Log.error("warm-up", e); // no place for sockets: it goes on without
--- a/src/test/java/dockrelay/proxy/RequestTableTest.java
+++ b/src/test/java/dockrelay/proxy/RequestTableTest.java
@@ -17,10 +17,14 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
 import java.lang.reflect.Proxy;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiConsumer;
@@ -139,6 +143,55 @@
         assertTrue(answers.size() == 1);
     }
 
+    /** Else the module takes the request for over, and calls off the attempt that is being passed on. */
+    @Test
+    void theEndOfALosingAttemptDoesNotCloseARequestWhoseAnswerIsBeingPassedOn() throws Exception {
+        String half = "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nhalf";
+        try (Fakes.BackendFake winner = new Fakes.BackendFake(request -> half);
+             Fakes.BackendFake loser = new Fakes.BackendFake(request -> null)) {
+            module((event, arguments) -> {
+                if ("onRequest".equals(event)) {
+                    table.send("r", 2, 0);
+                    table.send("r", 1, 0);
+                } else if ("onStreamStart".equals(event)) {
+                    table.cancel("r", 0);
+                } else if ("onOutcome".equals(event)) {
+                    calls.add(arguments[2] + " " + arguments[4] + " closed " + arguments[6]);
+                }
+            });
+            RequestTable.Reply reply = new RequestTable.Reply() {
+                @Override
+                public void answer(FullHttpResponse response) {
+                    answers.add(response);
+                }
+
+                @Override
+                public void begin(HttpResponse head, Body body) {
+                    calls.add("begins");
+                }
+            };
+            group.submit(() -> {
+                pool.learn(1, new InetSocketAddress(InetAddress.getLoopbackAddress(), winner.port()), true);
+                pool.learn(2, new InetSocketAddress(InetAddress.getLoopbackAddress(), loser.port()), true);
+                table.take(new Request("r", "look", null, null, 5_000_000, 0, false),
+                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/look/x"), reply);
+            }).syncUninterruptibly();
+            Fakes.await("the loser's end", () -> calls.contains("0 CANCELLED closed false"));
+            assertTrue(calls.contains("begins"));
+            winner.open.forEach(RequestTableTest::end);
+            Fakes.await("the winner's end", () -> calls.contains("1 RESET closed true"));
+            assertTrue(answers.isEmpty());
+        }
+    }
+
+    private static void end(Socket connection) {
+        try {
+            connection.close();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     @Test
     void aLoadReportIsReadByItsNamesAndWhatItLacksIsNoNumber() {
         Balancer.LoadReport report = BackendPool.report("TEXT inflight=7, queue=2, util=0.61, odd=x");
--- a/src/test/java/dockrelay/proxy/StartTest.java
+++ b/src/test/java/dockrelay/proxy/StartTest.java
@@ -1,6 +1,7 @@
 package dockrelay.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.sun.management.HotSpotDiagnosticMXBean;
@@ -13,6 +14,7 @@
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** A proxy that was killed is away until it has started: what each start costs, all pay in a mass restart. */
 class StartTest {
@@ -34,19 +36,20 @@
 
     /** Over channels in memory the code of sockets stays cold, and the first seconds of service with it. */
     @Test
-    void theWarmUpRunsOverSocketsAndLeavesNoFileBehind() throws IOException {
-        Path folder = Path.of(System.getProperty("java.io.tmpdir"));
-        long before = leftOver(folder);
-        assertTrue(WarmUp.run(Fakes.config(1, 1024), PooledByteBufAllocator.DEFAULT), "over sockets");
-        assertEquals(before, leftOver(folder));
-    }
-
-    private static long leftOver(Path folder) throws IOException {
+    void theWarmUpRunsOverSocketsAndLeavesNoFileBehind(@TempDir Path folder) throws IOException {
+        assertTrue(WarmUp.run(Fakes.config(1, 1024), PooledByteBufAllocator.DEFAULT, folder), "over sockets");
         try (Stream<Path> files = Files.list(folder)) {
-            return files.filter(file -> file.getFileName().toString().startsWith("warm")).count();
+            assertEquals(0, files.count());
         }
     }
 
+    /** Where there can be no such sockets it runs all the same, in memory. */
+    @Test
+    void aFolderThatTakesNoSocketsDoesNotKeepItFromRunning(@TempDir Path folder) {
+        Path missing = folder.resolve("missing");
+        assertFalse(WarmUp.run(Fakes.config(1, 1024), PooledByteBufAllocator.DEFAULT, missing));
+    }
+
     /** In the background the compiler gets no turn on a busy core, and all the warm-up is interpreted. */
     @Test
     void runIsOneProcessThatCompilesInTheForeground() throws IOException {
