--- a/src/main/java/dockrelay/proxy/WarmUp.java
+++ b/src/main/java/dockrelay/proxy/WarmUp.java
@@ -62,7 +62,7 @@
     /** Past the light compiler's threshold for what each connection runs through, and no more. */
     static final int REQUESTS = 240;
     /** Connections come and go as well. */
-    static final int REQUESTS_EACH = 4;
+    static final int REQUESTS_EACH = 2;
     private static final int CLIENTS = 8;
     private static final int BACKENDS = 8;
     private static final long MOST_MILLIS = 3_000;
