--- a/src/main/java/dockrelay/proxy/Proxy.java
+++ b/src/main/java/dockrelay/proxy/Proxy.java
@@ -38,8 +38,8 @@
     private static final long LAST_CONNECTIONS_MILLIS = 550;
     /** Two processes notice each other and each other's changes within this. */
     private static final long LOOK_MILLIS = 100;
-    /** An upgrade's process is to serve within 6 s of its start; discovery may be away or overbooked. */
-    private static final long LIST_MILLIS = 2_000;
+    /** After the warm-up: the next process is to serve within 6 s of its start, discovery or not. */
+    private static final long LIST_MILLIS = 1_000;
     /** SIGKILL follows SIGTERM after the longest deadline, of this at most, and 0.7 s: some of it is kept. */
     private static final long LONGEST_DEADLINE_MICROS = 3_000_000;
     private static final long LAST_CHANCE_MILLIS = 450;
