Let no backend hold more than twice its part of the requests that are let in

RiqBalancer.usable asked of a backend's own state only; the limit on all requests (admitted) says nothing of where they go. Ruled out: the proxies' CPU (loop 7 ms late) and the door (0 requests ended there). The idleness test and d are as they were.

--- a/src/main/java/dockrelay/RiqBalancer.java
+++ b/src/main/java/dockrelay/RiqBalancer.java
@@ -103,6 +103,8 @@
     private static final double HINT_COPIED = 1;
     /** Hints count while latency grows with at least this power of them: wrong ones show none. */
     private static final double HINT_TRUSTED = 0.2;
+    /** A backend holds at most this many times its part of the own requests that are let in. */
+    private static final double CROWD = 2;
     /** The rate of good answers is averaged over this many mean aims. */
     private static final double RATE_AIMS = 5;
     /** A cold backend is sent at most this share of the fall multiple times its part of the good answers. */
@@ -137,6 +139,7 @@
     private double strain, copyBudget, hedgeBudget = 1, retryBudget = 1;
     private double hedgeWins = HEDGES_WINNING; // hoped for, so that hedging starts
     private double provenWins; // not hoped for: copies start once hedges were seen to win
+    private double mostOpen = Double.MAX_VALUE; // the limit on own requests in flight
     private double warmWeight = 1, weightOfAll = 1; // of the window
     private double meanBadness, meanFloor, okRate;
     private long okRateAt, startedAt;
@@ -418,6 +421,7 @@
         double latency = wanted(meanAim, meanFloor == 0 ? Double.MAX_VALUE : meanFloor);
         double usual = rate(now) * latency / 1e6;
         double limit = usual + LIMIT_DEVIATIONS * Math.sqrt(usual + 1) + 1;
+        mostOpen = limit;
         ServiceState service = p.service;
         // Guards against taking heavy requests for slow backends: latencies are compared by hinted size.
         double hint = p.request.workHint();
@@ -616,7 +620,9 @@
     private boolean usable(long now, Pending p, Node node) {
         boolean trial = now >= node.ejectedUntil && node.inflight == 0
             && p.service.spec.idempotency() != Idempotency.AT_MOST_ONCE; // no trial with what cannot repeat
-        return (!node.out || trial)
+        // Guards against all that is let in crowding the one backend that is left of many.
+        double most = CROWD * mostOpen * node.weight * warmth(now, node) / warmWeight + 1;
+        return (!node.out || trial) && node.inflight < most
             && (now >= node.unreachableUntil || node.inflight < node.connections) && allowed(now, p, node);
     }
 
--- a/src/test/java/dockrelay/TroublesTest.java
+++ b/src/test/java/dockrelay/TroublesTest.java
@@ -93,6 +93,29 @@
         assertTrue(back > 40, "it is used again once it answers: " + back);
     }
 
+    /** Slow for long once it is crowded, it would be the next to go. */
+    @Test
+    void theOneBackendThatIsLeftOfManyIsNotCrowdedByAllThatIsLetIn() {
+        Host host = Host.usual().fleet(8);
+        host.warmUp(600);
+        for (int i = 0; i < 60; i++) {
+            String id = "c" + i;
+            host.request(id, "safe");
+            for (int k = 0; k < host.sentTo(id).size(); k++) {
+                boolean left = host.sentTo(id).get(k) == 8;
+                host.outcome(id, k, left ? Outcome.OK : Outcome.CONNECT_FAILURE, Host.MS);
+            }
+        }
+        int before = host.sends.values().stream().mapToInt(sent -> sent.contains(8L) ? 1 : 0).sum();
+        int open = 0;
+        for (int i = 0; i < 60; i++) {
+            host.request("o" + i, "unsafe");
+            open += host.sentTo("o" + i).isEmpty() ? 0 : 1;
+        }
+        int crowd = host.sends.values().stream().mapToInt(sent -> sent.contains(8L) ? 1 : 0).sum() - before;
+        assertTrue(crowd > 0 && crowd <= open / 2, crowd + " of " + open);
+    }
+
     @Test
     void aProxyThatSendsRarelyEjectsOnTwoBadOutcomesFarApart() {
         Host host = Host.usual().fleet(10);
