--- a/src/main/java/dockrelay/proxy/ClientSide.java
+++ b/src/main/java/dockrelay/proxy/ClientSide.java
@@ -6,32 +6,38 @@
 import dockrelay.proxy.Counters.Count;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpMessage;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.TooLongHttpContentException;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
@@ -40,6 +46,7 @@
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -54,26 +61,43 @@
     private static final double CROWDED = 0.75;
     /** A connection with no request open may be closed after 2 s. */
     private static final long REST_NANOS = TimeUnit.MILLISECONDS.toNanos(RequestTimeout.MILLIS);
+    /** ...and after one that came before its request was whole: what is on its way is read first. */
+    private static final long LINGER_UPLOAD_MILLIS = 2_500;
+    private static final long MOST_BODY = 32 << 20;
+    /**
+     * Short of places, one that was silent this long within a request, or before its first, makes room. A
+     * slow client, with 2 s for a head, is heard of in between; one that holds a place for nothing is not.
+     */
+    private static final long QUIET_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
     private static final int LONGEST_ID = 128;
     private static final Pattern SECONDS = Pattern.compile("\\d{1,4}(\\.\\d{0,9})?|\\.\\d{1,9}");
     private static final Pattern WHOLE_MICROS = Pattern.compile("\\d{1,12}(\\.\\d{0,9})?");
     private static final double MICROS = 1_000_000;
+    private static final String ABSOLUTE = "http://";
+    /** Stands for the pipelined request that comes next. */
+    private static final String NEXT = "";
 
     private final RequestTable table;
     private final Counters counters;
-    private final int most;
+    private final Buffers buffers;
+    private final int fullMost;
+    private int most;
     private final BooleanSupplier ready;
     private final Map<String, ServiceClass> classes = new HashMap<>();
     private final Set<Connection> connections = new HashSet<>();
     private final Set<Connection> idle = new LinkedHashSet<>(); // the one that was idle longest is first
     private Channel listener;
     private boolean closing, evicting;
+    private long lastAnswer;
+    private Runnable whenEmpty;
 
     ClientSide(RequestTable table, Iterable<ServiceClass> classes, int most, BooleanSupplier ready,
-               Counters counters) {
+               Counters counters, Buffers buffers) {
+        this.buffers = buffers;
         this.table = table;
         this.counters = counters;
         counters.gauge("clients", connections::size);
+        this.fullMost = most;
         this.most = most;
         this.ready = ready;
         for (ServiceClass spec : classes) {
@@ -81,28 +105,68 @@
         }
     }
 
+    /** Listens at an address; with none, the bootstrap's channel is a listening socket as it comes. */
     ChannelFuture listen(ServerBootstrap bootstrap, SocketAddress address) {
-        ChannelFuture bound = bootstrap.childHandler(new ChannelInitializer<Channel>() {
+        bootstrap.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Buffers.WATER_MARKS)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, Buffers.reads())
+            .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
                     RequestTimeout timeout = new RequestTimeout();
-                    channel.pipeline().addLast(timeout, new HttpServerCodec(), new Whole(),
-                        new Connection(timeout));
+                    channel.pipeline().addLast(timeout, new HttpServerCodec(), new Connection(timeout));
                 }
-            })
-            .bind(address);
+            });
+        ChannelFuture bound = address == null ? bootstrap.register() : bootstrap.bind(address);
         listener = bound.channel();
         return bound;
     }
 
-    /** From now on each answer ends its connection. */
-    void lastAnswers() {
+    int size() {
+        return connections.size();
+    }
+
+    /** Keeps to so many connections, as there are no more descriptors. */
+    void limit(int left) {
+        most = Math.max(1, Math.min(fullMost, left));
+        makeRoom();
+    }
+
+    /** From now on each answer ends its connection; none is of use after this time of the nano clock. */
+    void lastAnswers(long until) {
         closing = true;
+        lastAnswer = until;
+    }
+
+    /**
+     * Leaves the listening socket to another process. It stays open: closing an inherited one makes the
+     * runtime point the log at nothing.
+     */
+    void leave() {
+        listener.deregister();
+    }
+
+    /** Runs this once no connection is left. */
+    void whenEmpty(Runnable action) {
+        whenEmpty = action;
+        checkEmpty();
+    }
+
+    private void checkEmpty() {
+        if (whenEmpty != null && connections.isEmpty()) {
+            Runnable action = whenEmpty;
+            whenEmpty = null;
+            action.run();
+        }
     }
 
     /** Stops accepting, and closes what has no request in hand. */
     void close() {
         listener.close();
+        closeResting();
+    }
+
+    /** Closes what has no request in hand. */
+    void closeResting() {
         for (Connection connection : Set.copyOf(connections)) {
             if (connection.inHand == null && !connection.ending) {
                 connection.channel.close();
@@ -121,6 +185,9 @@
      */
     private void makeRoom() {
         boolean room = connections.size() < most;
+        if (listener == null || !listener.isRegistered()) {
+            return; // it is not this process's yet, or another one's now
+        }
         if (listener.config().isAutoRead() != room) {
             listener.config().setAutoRead(room);
         }
@@ -132,9 +199,31 @@
 
     private void evict() {
         evicting = false;
-        if (connections.size() >= most && !idle.isEmpty()) {
+        if (connections.size() < most || !listener.isRegistered()) {
+            return;
+        }
+        if (!idle.isEmpty()) {
             counters.add(Count.EVICTED);
             idle.iterator().next().channel.close();
+            return;
+        }
+        Connection quietest = null;
+        for (Connection connection : connections) {
+            if (connection.isWaiting() && (quietest == null
+                || connection.timeout.heardAt() - quietest.timeout.heardAt() < 0)) {
+                quietest = connection;
+            }
+        }
+        if (quietest == null) {
+            return; // all are in use
+        }
+        long left = quietest.timeout.heardAt() + QUIET_NANOS - System.nanoTime();
+        if (left <= 0) {
+            counters.add(Count.EVICTED);
+            quietest.channel.close();
+        } else {
+            evicting = true;
+            listener.eventLoop().schedule(this::evict, left, TimeUnit.NANOSECONDS);
         }
     }
 
@@ -158,61 +247,21 @@
         return connections.size() >= most * CROWDED;
     }
 
-    /**
-     * Puts a request together; one that is too large, or whose end cannot be known for sure, goes on as a
-     * failed one: its answer ends the connection, as what follows may be its body.
-     */
-    private static final class Whole extends HttpObjectAggregator {
-        Whole() {
-            super(BackendPool.MOST_BODY);
-        }
-
-        /** Guards against the aggregator's own refusal, after which a body is read as a request. */
-        @Override
-        protected Object newContinueResponse(HttpMessage start, int most, ChannelPipeline pipeline) {
-            String expected = start.headers().get(HttpHeaderNames.EXPECT);
-            if (expected != null && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expected)) {
-                start.setDecoderResult(DecoderResult.failure(new ExpectationException(expected)));
-            }
-            boolean refused = start.decoderResult().isFailure() || isContentLengthInvalid(start, most);
-            return refused ? null : super.newContinueResponse(start, most, pipeline);
-        }
-
-        @Override
-        protected FullHttpMessage beginAggregation(HttpMessage start, ByteBuf content) throws Exception {
-            FullHttpMessage whole = super.beginAggregation(start, content);
-            String coding = start.headers().get(HttpHeaderNames.TRANSFER_ENCODING);
-            if (coding != null && start.decoderResult().isSuccess()) { // chunked is taken out by now
-                start.setDecoderResult(DecoderResult.failure(
-                    new IllegalArgumentException("unknown transfer coding " + coding)));
-            }
-            return whole;
-        }
-
-        @Override
-        protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-            FullHttpRequest failed = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
-            failed.setDecoderResult(DecoderResult.failure(new TooLongHttpContentException()));
-            context.fireChannelRead(failed);
-        }
-    }
-
-    private static final class ExpectationException extends IllegalArgumentException {
-        private static final long serialVersionUID = 1;
-
-        ExpectationException(String expected) {
-            super("unknown expectation " + expected);
-        }
-    }
-
     /** One client connection: one request in hand, pipelined ones wait. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject>
+        implements RequestTable.Reply, Body.Source, Body.Sink {
+        private final Deque<HttpObject> early = new ArrayDeque<>();
+        private final RequestTimeout timeout;
         private Channel channel;
+        private HttpRequest head; // of the request that is coming in, else null
+        private ByteBuf gathered;
+        private long received;
+        private Body upload; // of the request that is coming in, where it is passed on as it comes
+        private Buffers.Reading reading; // of the upload
+        private Body answer; // that is passed on as it comes
         private String inHand;
-        private final RequestTimeout timeout;
         private long restingSince;
-        private boolean keep, ending;
+        private boolean keep, ending, last, old;
 
         Connection(RequestTimeout timeout) {
             super(false);
@@ -233,7 +282,7 @@
          * One that never sends any is closed by its timeout.
          */
         private void rest() {
-            if (inHand == null && !ending && channel.isActive()) {
+            if (inHand == null && head == null && !ending && channel.isActive()) {
                 if (idle.add(this)) {
                     restingSince = System.nanoTime();
                 }
@@ -248,20 +297,38 @@
             connections.remove(this);
             idle.remove(this);
             makeRoom();
-            waiting.forEach(FullHttpRequest::release);
-            waiting.clear();
+            early.forEach(ReferenceCountUtil::release);
+            early.clear();
+            drop();
+            if (answer != null) {
+                answer.release();
+                answer = null;
+            }
+            checkEmpty();
+        }
+
+        /** Ends the request that is in hand or coming in, without an answer. */
+        private void drop() {
+            if (gathered != null) {
+                gathered.release();
+                gathered = null;
+            }
             if (inHand != null) {
                 table.clientGone(inHand);
+                inHand = null;
+            }
+            if (upload != null) {
+                upload.fail();
+                upload = null;
             }
         }
 
         @Override
         public void userEventTriggered(ChannelHandlerContext context, Object event) {
-            if (event instanceof RequestTimeout.Late late && inHand == null && !ending) {
+            if (event instanceof RequestTimeout.Late late && !ending && (inHand == null || upload != null)) {
                 counters.add(Count.LATE);
-                if (late == RequestTimeout.Late.NOT_WHOLE) {
-                    keep = false;
-                    write(RequestTable.plain(HttpResponseStatus.REQUEST_TIMEOUT));
+                if (late == RequestTimeout.Late.NOT_WHOLE && answer == null) {
+                    end(HttpResponseStatus.REQUEST_TIMEOUT);
                 } else {
                     context.close();
                 }
@@ -270,52 +337,154 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest message) {
-            timeout.arrived();
+        protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
             if (ending) {
-                message.release();
-            } else if (inHand != null) {
-                waiting.add(message);
+                discard(part);
+            } else if (inHand != null && upload == null) {
+                early.add(part);
                 channel.config().setAutoRead(false); // one at a time: the rest stays in the socket
             } else {
-                accept(message);
+                read(part);
             }
         }
 
-        private void accept(FullHttpRequest message) {
-            idle.remove(this);
-            keep = HttpUtil.isKeepAlive(message);
-            if (message.decoderResult().isSuccess() && "/healthz".equals(path(message))) {
-                message.release();
-                write(RequestTable.plain(
-                    ready.getAsBoolean() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE));
-                return;
+        /** What comes after the answer is read: closing with bytes unread would take the answer with it. */
+        private void discard(HttpObject part) {
+            ReferenceCountUtil.release(part);
+            if (part instanceof LastHttpContent && head != null) {
+                head = null;
+                channel.eventLoop().execute(this::endSending);
+            }
+        }
+
+        private void read(HttpObject part) {
+            if (part instanceof HttpRequest start) {
+                begin(start);
             }
+            if (part instanceof HttpContent content) {
+                if (head == null || ending) {
+                    discard(content);
+                } else if (content.decoderResult().isFailure()) {
+                    content.release();
+                    improper(HttpResponseStatus.BAD_REQUEST, content.decoderResult().cause());
+                } else {
+                    take(content);
+                }
+            }
+        }
+
+        private void begin(HttpRequest start) {
+            idle.remove(this);
+            head = start;
+            received = 0;
+            keep = HttpUtil.isKeepAlive(start);
+            old = start.protocolVersion().equals(HttpVersion.HTTP_1_0);
             HttpResponseStatus wrong;
             try {
-                wrong = handled(message);
+                wrong = wrong(start);
             } catch (RuntimeException e) {
                 Log.error("client", e); // guards against one bad request taking the loop along
                 wrong = HttpResponseStatus.INTERNAL_SERVER_ERROR;
             }
             if (wrong != null) {
-                counters.add(Count.IMPROPER);
-                Throwable cause = message.decoderResult().cause();
-                Log.line("improper",
-                    wrong + " to " + channel.remoteAddress() + (cause == null ? "" : ": " + cause));
-                keep = false; // a peer that speaks badly has no claim to a place
+                improper(wrong, start.decoderResult().cause());
+                return;
+            }
+            if (HttpUtil.is100ContinueExpected(start)) {
+                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            }
+            if (HttpUtil.getContentLength(start, 0L) > buffers.mostWhole()) {
+                stream();
+            }
+        }
+
+        private void take(HttpContent content) {
+            received += content.content().readableBytes();
+            boolean whole = content instanceof LastHttpContent;
+            if (received > MOST_BODY) {
+                content.release();
+                improper(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, null);
+            } else if (upload != null) {
+                Body body = upload;
+                if (whole) {
+                    timeout.arrived();
+                    head = null;
+                    upload = null;
+                    table.whole(inHand);
+                }
+                body.add(content);
+                if (whole) {
+                    reading.end();
+                } else {
+                    reading.read();
+                }
+            } else {
+                gathered = Body.gather(gathered, content, channel.alloc());
+                if (whole) {
+                    timeout.arrived();
+                    accept();
+                } else if (received > buffers.mostWhole()) {
+                    stream();
+                }
+            }
+        }
+
+        /** The request is there whole. */
+        private void accept() {
+            FullHttpRequest message = new DefaultFullHttpRequest(head.protocolVersion(), head.method(),
+                head.uri(), gathered == null ? Unpooled.EMPTY_BUFFER : gathered, head.headers(),
+                EmptyHttpHeaders.INSTANCE);
+            gathered = null;
+            head = null;
+            if (isHealthCheck(message)) {
+                message.release();
+                answer(RequestTable.plain(
+                    ready.getAsBoolean() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE));
+                return;
+            }
+            HttpResponseStatus wrong = bodyWrong(message);
+            if (wrong != null) {
                 message.release();
-                write(RequestTable.plain(wrong));
+                improper(wrong, null);
+                return;
+            }
+            Request request = request(message, false);
+            inHand = request.id();
+            table.take(request, message, this);
+        }
+
+        /** The request is long: it goes on as it comes. */
+        private void stream() {
+            HttpResponseStatus wrong = isHealthCheck(head) ? HttpResponseStatus.BAD_REQUEST : bodyWrong(head);
+            if (wrong != null) {
+                improper(wrong, null);
+                return;
+            }
+            reading = buffers.new Reading(channel);
+            Body body = new Body(this, Buffers.MOST_WHOLE);
+            if (gathered != null) {
+                body.add(new DefaultHttpContent(gathered));
+                gathered = null;
             }
+            upload = body;
+            Request request = request(head, true);
+            inHand = request.id();
+            table.take(request, new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(),
+                Unpooled.EMPTY_BUFFER, head.headers(), EmptyHttpHeaders.INSTANCE), body, this);
         }
 
-        private static String path(FullHttpRequest message) {
+        private static boolean isHealthCheck(HttpRequest message) {
+            return "/healthz".equals(path(message));
+        }
+
+        private static String path(HttpRequest message) {
             int query = message.uri().indexOf('?');
             return query < 0 ? message.uri() : message.uri().substring(0, query);
         }
 
-        /** Passes a proper request on, and returns null; else the status that says what is wrong with it. */
-        private HttpResponseStatus handled(FullHttpRequest message) {
+        /** The status that says what is wrong with a request by its head alone; null where nothing is. */
+        private HttpResponseStatus wrong(HttpRequest message) {
             if (message.decoderResult().isFailure()) {
                 return unparsable(message.decoderResult().cause());
             }
@@ -323,8 +492,24 @@
             if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
                 return HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED;
             }
-            String path = path(message);
             HttpHeaders headers = message.headers();
+            List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+            if (!codings.isEmpty() && (codings.size() > 1
+                || !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0).trim()))) {
+                return HttpResponseStatus.BAD_REQUEST; // where its body ends cannot be known for sure
+            }
+            String expected = headers.get(HttpHeaderNames.EXPECT);
+            if (expected != null && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expected)) {
+                return HttpResponseStatus.EXPECTATION_FAILED;
+            }
+            if (HttpUtil.getContentLength(message, 0L) > MOST_BODY) {
+                return HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
+            }
+            message.setUri(originForm(message.uri()));
+            if (isHealthCheck(message)) {
+                return null;
+            }
+            String path = path(message);
             int end = path.indexOf('/', 1);
             String first = path.isEmpty() ? "" : path.substring(1, end < 0 ? path.length() : end);
             ServiceClass spec = classes.get(first);
@@ -337,77 +522,188 @@
                 return HttpResponseStatus.METHOD_NOT_ALLOWED;
             }
             String id = headers.get(Headers.REQUEST_ID);
-            String timeout = headers.get(Headers.TIMEOUT);
+            String asked = headers.get(Headers.TIMEOUT);
             String cost = headers.get(Headers.COST);
             boolean hosted = version.equals(HttpVersion.HTTP_1_0) || headers.contains(HttpHeaderNames.HOST);
-            if (!hosted || Headers.isAmbiguous(headers) || safe && message.content().isReadable()) {
+            if (!hosted || Headers.isAmbiguous(headers)) {
                 return HttpResponseStatus.BAD_REQUEST;
             }
             if (!first.equals(headers.get(Headers.CLASS)) || id == null || id.isEmpty()
-                || id.length() > LONGEST_ID || timeout == null || !SECONDS.matcher(timeout).matches()
+                || id.length() > LONGEST_ID || asked == null || !SECONDS.matcher(asked).matches()
                 || cost != null && !WHOLE_MICROS.matcher(cost).matches()
                 || spec.idempotency() == Idempotency.DEDUPLICATED && !keyed) {
                 return HttpResponseStatus.BAD_REQUEST;
             }
-            if (table.holds(id)) {
-                return HttpResponseStatus.CONFLICT; // ids are new with every request
+            return null;
+        }
+
+        /** The absolute form is as good as the usual one (RFC 9112, 3.2.2); backends get the usual one. */
+        private static String originForm(String uri) {
+            if (!uri.regionMatches(true, 0, ABSOLUTE, 0, ABSOLUTE.length())) {
+                return uri;
+            }
+            for (int i = ABSOLUTE.length(); i < uri.length(); i++) {
+                if (uri.charAt(i) == '/' || uri.charAt(i) == '?') {
+                    return (uri.charAt(i) == '?' ? "/" : "") + uri.substring(i);
+                }
+            }
+            return "/";
+        }
+
+        /** What is wrong with a request now that it has a body, or has come whole. */
+        private HttpResponseStatus bodyWrong(HttpRequest message) {
+            boolean body = received > 0 || HttpUtil.getContentLength(message, 0L) > 0;
+            if (body && HttpMethod.GET.equals(message.method())) {
+                return HttpResponseStatus.BAD_REQUEST;
             }
-            inHand = id;
-            String key = end < 0 ? null : path.substring(path.lastIndexOf('/') + 1);
-            Request request = new Request(id, first, headers.get(Headers.TENANT), key,
-                (long) (Double.parseDouble(timeout) * MICROS),
+            return table.holds(message.headers().get(Headers.REQUEST_ID))
+                ? HttpResponseStatus.CONFLICT : null; // ids are new with every request
+        }
+
+        private Request request(HttpRequest message, boolean streamed) {
+            HttpHeaders headers = message.headers();
+            String path = path(message);
+            int end = path.indexOf('/', 1);
+            String cost = headers.get(Headers.COST);
+            return new Request(headers.get(Headers.REQUEST_ID), headers.get(Headers.CLASS),
+                headers.get(Headers.TENANT), end < 0 ? null : path.substring(path.lastIndexOf('/') + 1),
+                budget((long) (Double.parseDouble(headers.get(Headers.TIMEOUT)) * MICROS)),
                 cost == null ? 0 : (long) Double.parseDouble(cost),
-                "1".equals(headers.get(Headers.RETRIED)));
-            table.take(request, message, this::write);
-            return null;
+                "1".equals(headers.get(Headers.RETRIED)), streamed);
+        }
+
+        /** Guards against a request that is still in hand when this process is killed: that one is lost. */
+        private long budget(long asked) {
+            return closing && lastAnswer != Long.MAX_VALUE
+                ? Math.min(asked, TimeUnit.NANOSECONDS.toMicros(lastAnswer - System.nanoTime())) : asked;
+        }
+
+        /** Whether no request of this one is in hand: its peer has sent none, or only a part of one. */
+        private boolean isWaiting() {
+            return inHand == null && !ending;
         }
 
         private HttpResponseStatus unparsable(Throwable cause) {
-            if (cause instanceof TooLongHttpContentException) {
-                return HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
-            } else if (cause instanceof TooLongHttpLineException) {
+            if (cause instanceof TooLongHttpLineException) {
                 return HttpResponseStatus.REQUEST_URI_TOO_LONG;
             } else if (cause instanceof TooLongHttpHeaderException) {
                 return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
-            } else if (cause instanceof ExpectationException) {
-                return HttpResponseStatus.EXPECTATION_FAILED;
             }
             return HttpResponseStatus.BAD_REQUEST;
         }
 
-        private void write(FullHttpResponse response) {
-            inHand = null;
+        private void improper(HttpResponseStatus status, Throwable cause) {
+            counters.add(Count.IMPROPER);
+            Log.line("improper",
+                status + " to " + channel.remoteAddress() + (cause == null ? "" : ": " + cause));
+            end(status);
+        }
+
+        /** Ends the connection with this: a peer that speaks badly has no claim to a place. */
+        private void end(HttpResponseStatus status) {
+            keep = false;
+            drop();
+            if (answer == null) {
+                answer(RequestTable.plain(status));
+            } else {
+                channel.close(); // in the middle of an answer there is no place for another
+            }
+        }
+
+        /** Whether the next answer ends the connection; it does while the rest of its request is to come. */
+        private boolean isLast() {
+            boolean ends = !keep || closing || head != null;
+            if (!ends && crowded() && !closeLongestAtRest()) {
+                counters.add(Count.CROWDED);
+                ends = true;
+            }
+            return ends;
+        }
+
+        @Override
+        public void answer(FullHttpResponse response) {
             Headers.dropHopByHop(response.headers());
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
-            if (!keep || closing || crowded() && !closeLongestAtRest()) {
-                ending = true;
-                if (keep && !closing) {
-                    counters.add(Count.CROWDED);
-                }
+            last = isLast();
+            if (last) {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            finish(channel.writeAndFlush(response));
+        }
+
+        @Override
+        public void begin(HttpResponse start, Body body) {
+            HttpResponse response =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, start.status(), start.headers().copy());
+            Headers.dropHopByHop(response.headers());
+            boolean unending = !HttpUtil.isContentLengthSet(start);
+            HttpUtil.setTransferEncodingChunked(response, unending && !old);
+            keep &= !(unending && old); // an old client knows the end by that of the connection
+            last = isLast();
+            if (last) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-                channel.writeAndFlush(response).addListener((ChannelFutureListener) done -> endSending());
-                return;
             }
-            ChannelFuture written = channel.writeAndFlush(response);
-            FullHttpRequest next = waiting.poll();
-            if (next != null) {
+            answer = body;
+            channel.write(response);
+            body.to(this);
+            channel.flush();
+        }
+
+        @Override
+        public void part(HttpContent part) {
+            ChannelFuture written = channel.writeAndFlush(part);
+            if (part instanceof LastHttpContent) {
+                answer.release();
+                answer = null;
+                finish(written);
+            } else if (!channel.isWritable()) {
+                answer.flow(false);
+            }
+        }
+
+        /** The client is to see that its answer is not whole. */
+        @Override
+        public void broken() {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0); // an end may pass for the body's
+            channel.close();
+        }
+
+        /** The answer is on its way whole. */
+        private void finish(ChannelFuture written) {
+            inHand = null;
+            if (last) {
+                ending = true;
+                if (upload != null) {
+                    upload.release();
+                    upload = null;
+                    reading.end();
+                    channel.config().setAutoRead(true);
+                }
+                written.addListener((ChannelFutureListener) done -> endSending());
+            } else if (!early.isEmpty()) {
                 // Not from within the answer: a long pipeline must not deepen the stack.
-                inHand = "";
-                channel.eventLoop().execute(() -> {
-                    inHand = null;
-                    acceptWaiting(next);
-                });
+                inHand = NEXT;
+                channel.eventLoop().execute(this::readEarly);
             } else {
                 channel.config().setAutoRead(true);
                 written.addListener(done -> rest()); // not before the answer is out whole
             }
         }
 
-        private void acceptWaiting(FullHttpRequest next) {
-            if (channel.isActive()) {
-                accept(next);
-            } else {
-                next.release();
+        private void readEarly() {
+            if (!channel.isActive()) {
+                return;
+            }
+            inHand = null;
+            while (!early.isEmpty() && (ending || inHand == null || upload != null)) {
+                if (ending) {
+                    discard(early.poll());
+                } else {
+                    read(early.poll());
+                }
+            }
+            if (early.isEmpty()) {
+                channel.config().setAutoRead(true);
             }
         }
 
@@ -415,12 +711,31 @@
             if (channel instanceof DuplexChannel duplex && channel.isActive()) {
                 duplex.shutdownOutput();
                 channel.config().setAutoRead(true);
-                channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+                channel.eventLoop().schedule(() -> channel.close(),
+                    head == null ? LINGER_MILLIS : LINGER_UPLOAD_MILLIS, TimeUnit.MILLISECONDS);
             } else {
                 channel.close();
             }
         }
 
+        @Override
+        public void flow(boolean on) {
+            reading.flow(on);
+        }
+
+        @Override
+        public void dropped() {
+            // the answer says so
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            if (answer != null) {
+                answer.flow(channel.isWritable());
+            }
+            context.fireChannelWritabilityChanged();
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             if (!(cause instanceof IOException)) {
