--- a/src/main/java/dockrelay/proxy/BackendPool.java
+++ b/src/main/java/dockrelay/proxy/BackendPool.java
@@ -304,8 +304,8 @@
             body.to(this);
         }
 
-        private void written(Future<?> done) {
-            if (((io.netty.util.concurrent.Future<?>) done).isSuccess()) {
+        private void written(io.netty.util.concurrent.Future<?> done) {
+            if (done.isSuccess()) {
                 written = true;
             } else {
                 channel.close();
