Bring the repository to modules: decision, settings, adapter, proxy

Need: the subsystems to come (lab, membership, recovery) are to depend on the parts in one direction only, and that is to be enforced by the build.

Settings and JSON lie in a module below proxy and adapter, as the proxy took them from the adapter; Json throws IllegalArgumentException where it threw the adapter's own.

--- a/src/main/java/dockrelay/adapter/Adapter.java
+++ b/adapter/src/main/java/dockrelay/adapter/Adapter.java
@@ -8,6 +8,8 @@
 import dockrelay.Balancer.Phase;
 import dockrelay.Balancer.Request;
 import dockrelay.RiqBalancer;
+import dockrelay.settings.Json;
+import dockrelay.settings.SettingsReader;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
--- a/src/test/java/dockrelay/EmbeddingTest.java
+++ b/decision/src/test/java/dockrelay/EmbeddingTest.java
@@ -91,7 +91,7 @@
         String code = Files.readString(Path.of("src/test/java/dockrelay/EmbeddingTest.java"));
         int begin = code.indexOf("// README begin\n") + 16;
         String shown = code.substring(begin, code.indexOf("    // README end"));
-        String readme = Files.readString(Path.of("README.md"));
+        String readme = Files.readString(Path.of("../README.md"));
         assertTrue(readme.contains(shown.stripTrailing()), "README.md and the code run here differ");
     }
 }
--- a/src/main/java/dockrelay/proxy/Discovery.java
+++ b/proxy/src/main/java/dockrelay/proxy/Discovery.java
@@ -5,7 +5,7 @@
 import dockrelay.Balancer.Backend;
 import dockrelay.Balancer.ListScope;
 import dockrelay.Balancer.Phase;
-import dockrelay.adapter.Json;
+import dockrelay.settings.Json;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
--- a/src/test/java/dockrelay/proxy/StartTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/StartTest.java
@@ -30,7 +30,7 @@
     }
 
     private static String run() throws IOException {
-        return Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+        return Files.readAllLines(Path.of("../deploy/balancer.toml")).stream()
             .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
     }
 
--- a/src/main/java/dockrelay/adapter/Json.java
+++ b/settings/src/main/java/dockrelay/settings/Json.java
@@ -1,4 +1,4 @@
-package dockrelay.adapter;
+package dockrelay.settings;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -17,7 +17,7 @@
     public static Object value(JsonParser parser) throws IOException {
         JsonToken token = parser.currentToken();
         if (token == null) {
-            throw new WireException("value missing");
+            throw new IllegalArgumentException("value missing");
         }
         switch (token) {
             case START_OBJECT: {
@@ -49,7 +49,7 @@
             case VALUE_NULL:
                 return null;
             default:
-                throw new WireException("unexpected " + token);
+                throw new IllegalArgumentException("unexpected " + token);
         }
     }
 }
--- a/src/main/java/dockrelay/adapter/SettingsReader.java
+++ b/settings/src/main/java/dockrelay/settings/SettingsReader.java
@@ -1,4 +1,4 @@
-package dockrelay.adapter;
+package dockrelay.settings;
 
 import dockrelay.Balancer.DedupScope;
 import dockrelay.Balancer.Idempotency;
@@ -15,6 +15,8 @@
 
 /** Translates the wire's settings object. A key with no default that is missing is named in the error. */
 public final class SettingsReader {
+    private static final double MICROS_PER_SECOND = 1_000_000;
+
     private final Map<?, ?> map;
     private final String path;
 
@@ -146,7 +148,7 @@
     }
 
     private long micros(String key, Double fallbackSeconds) {
-        return Math.round(number(key, fallbackSeconds) * Adapter.MICROS_PER_SECOND);
+        return Math.round(number(key, fallbackSeconds) * MICROS_PER_SECOND);
     }
 
     private long whole(String key, Double fallback) {
