--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/Progress.java
@@ -0,0 +1,21 @@
+package dockrelay.lab;
+
+/** One line that tells what is happening now, on a terminal only. */
+final class Progress {
+    private final boolean terminal = System.console() != null;
+    private int width;
+
+    void say(String text) {
+        if (terminal) {
+            System.err.print("\r" + text + " ".repeat(Math.max(0, width - text.length())));
+            width = text.length();
+        }
+    }
+
+    void end() {
+        if (terminal && width > 0) {
+            System.err.print("\r" + " ".repeat(width) + "\r");
+            width = 0;
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/plan/Plan.java
@@ -0,0 +1,255 @@
+package dockrelay.lab.plan;
+
+import dockrelay.lab.spec.Experiment;
+import dockrelay.lab.spec.Experiment.Clients;
+import dockrelay.lab.spec.Experiment.Fault;
+import dockrelay.lab.spec.Experiment.FaultKind;
+import dockrelay.lab.spec.Experiment.Kind;
+import dockrelay.lab.spec.Experiment.ServiceClass;
+import dockrelay.lab.spec.Experiment.Spread;
+import dockrelay.lab.spec.SpecException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.random.RandomGenerator;
+
+/**
+ * All that an experiment and a seed fix before anything starts: the nodes' figures, every arrival, every
+ * fault
+ * and its victims. Times are microseconds from the moment that clients come. The same file and seed give the
+ * same plan to the byte, which its hash shows.
+ */
+public record Plan(Experiment experiment, long seed, List<Node> nodes, double[] meanWork, double rate,
+                   List<Arrival> arrivals, List<Break> breaks, String hash) {
+    private static final double SECOND = 1_000_000;
+    /** Bursts: so much of the time the rate is so much higher; the mean stays. */
+    private static final double BURST_SHARE = 0.2, BURST_RATE = 2;
+
+    /** An emulated node. Work and speeds are in microseconds of a standard core. */
+    public record Node(int index, String name, String zone, String kind, int cell, Figures figures) {
+    }
+
+    /** What a node can do. */
+    public record Figures(int cores, double speed, int slots, int queue, double chokeAt, long chokeOver,
+                          double chokeSlower, double chokeBelow, long chokeRest, long chokeMost,
+                          double coldFrom,
+                          long coldTime, boolean warmByRequests, double fallMultiple, long fallTime,
+                          int connections,
+                          double fullTax, double handshakeWork, long handshakeDelay, double probeWork,
+                          long reportPeriod, double reportNoise, double errorRate, boolean dropsExpired,
+                          boolean stopsOnCancel) {
+        /** Work in a microsecond, when warm and left alone. */
+        public double capacity() {
+            return cores * speed;
+        }
+    }
+
+    /** A client's request; a client that retries does so at most so often. */
+    public record Arrival(int index, long at, int serviceClass, double work, double tryShare, int retries,
+        String key, long salt) {
+    }
+
+    /** A fault with its victims drawn. */
+    public record Break(long at, long lasts, FaultKind kind, List<Integer> victims, double size) {
+        public long until() {
+            return at + lasts;
+        }
+    }
+
+    public static Plan of(Experiment experiment, long seed) {
+        List<Node> nodes = nodes(experiment, seed);
+        double[] means = new double[experiment.classes().size()];
+        double[] cvs = new double[means.length];
+        RandomGenerator random = Seeds.stream(seed, "classes");
+        double shares = 0, work = 0;
+        for (int i = 0; i < means.length; i++) {
+            ServiceClass c = experiment.classes().get(i);
+            means[i] = c.work().draw(random);
+            cvs[i] = c.cv().draw(random);
+            shares += c.share();
+            work += c.share() * means[i];
+        }
+        double capacity = nodes.stream().mapToDouble(node -> node.figures().capacity()).sum();
+        Clients clients = experiment.clients();
+        double rate = clients.rate() > 0 ? clients.rate() / SECOND
+            : clients.load() * capacity / (work / shares);
+        List<Arrival> arrivals = arrivals(experiment, seed, rate, means, cvs);
+        List<Break> breaks = breaks(experiment, seed, nodes);
+        return new Plan(experiment, seed, nodes, means, rate * SECOND, arrivals, breaks,
+            hash(nodes, means, arrivals, breaks));
+    }
+
+    private static List<Node> nodes(Experiment experiment, long seed) {
+        RandomGenerator random = Seeds.stream(seed, "nodes");
+        Experiment.Nodes spec = experiment.nodes();
+        Experiment.Choke choke = spec.choke();
+        double shares = spec.kinds().stream().mapToDouble(Kind::share).sum();
+        List<Node> result = new ArrayList<>();
+        int zones = spec.zones().size();
+        for (int i = 0; i < spec.count(); i++) {
+            // By turns rather than drawn: eight nodes of two kinds are to be about as many of each as stated.
+            Kind kind = kindAt(spec.kinds(), shares * ((i * 0.6180339887498949 + 0.5) % 1));
+            double slower = choke.slower().draw(random);
+            Experiment.Connections connections = spec.connections();
+            Figures figures = new Figures(kind.cores(), kind.speed().draw(random),
+                (int) Math.max(1, Math.round(kind.slotsPerCore().draw(random) * kind.cores())),
+                (int) Math.round(kind.queuePerCore().draw(random) * kind.cores()),
+                choke.at().draw(random), Math.round(choke.over().draw(random)), slower,
+                choke.below().draw(random), Math.round(choke.rest().draw(random)),
+                Math.round(choke.most().draw(random)), kind.coldFrom().draw(random),
+                Math.round(kind.coldTime().draw(random)), kind.warmBy() == Experiment.WarmBy.REQUESTS,
+                experiment.rules().fallMultiple(), experiment.rules().fall(),
+                (int) Math.round(connections.capPerCore().draw(random) * kind.cores()),
+                connections.fullTax().draw(random), connections.handshakeWork().draw(random),
+                Math.round(connections.handshakeDelay().draw(random)), spec.probes().work().draw(random),
+                Math.round(spec.probes().period().draw(random)), spec.probes().noise().draw(random),
+                kind.errorRate().draw(random), kind.dropsExpired(), kind.stopsOnCancel());
+            int inZone = i / zones;
+            int cell = inZone / spec.cellSize() * zones + i % zones;
+            result.add(new Node(i, "s-" + (i + 1), spec.zones().get(i % zones), kind.name(), cell, figures));
+        }
+        return result;
+    }
+
+    private static Kind kindAt(List<Kind> kinds, double at) {
+        double sum = 0;
+        for (Kind kind : kinds) {
+            sum += kind.share();
+            if (at < sum) {
+                return kind;
+            }
+        }
+        return kinds.get(kinds.size() - 1);
+    }
+
+    private static List<Arrival> arrivals(Experiment experiment, long seed, double rate, double[] means,
+        double[] cvs) {
+        List<Arrival> result = new ArrayList<>();
+        if (rate <= 0) {
+            return result;
+        }
+        RandomGenerator times = Seeds.stream(seed, "arrivals");
+        RandomGenerator draws = Seeds.stream(seed, "requests");
+        Clients clients = experiment.clients();
+        double swing = clients.swing().draw(times);
+        double highest = rate * peak(clients, swing);
+        double shares = experiment.classes().stream().mapToDouble(ServiceClass::share).sum();
+        double retriesMean = clients.retries().draw(draws);
+        double at = 0;
+        while (true) {
+            at += times.nextExponential() / highest; // thinned below to the rate of the moment
+            if (at >= experiment.length()) {
+                return result;
+            }
+            if (times.nextDouble() * highest > rate * shape(experiment, swing, (long) at)) {
+                continue;
+            }
+            double pick = draws.nextDouble() * shares;
+            int index = 0;
+            while (index < means.length - 1 && pick >= experiment.classes().get(index).share()) {
+                pick -= experiment.classes().get(index++).share();
+            }
+            int retries = (int) Math.floor(retriesMean + draws.nextDouble());
+            result.add(new Arrival(result.size(), (long) at, index,
+                work(experiment.classes().get(index).spread(), means[index], cvs[index], draws),
+                clients.tryShare().draw(draws), retries,
+                HexFormat.of().toHexDigits(draws.nextLong()) + HexFormat.of().toHexDigits(draws.nextLong()),
+                draws.nextLong()));
+        }
+    }
+
+    private static double peak(Clients clients, double swing) {
+        return switch (clients.arrivals()) {
+            case POISSON -> 1;
+            case BURSTY -> BURST_RATE;
+            case SWING -> 1 + swing;
+            case STEPS -> clients.steps().stream().mapToDouble(Double::doubleValue).max().orElse(1);
+        };
+    }
+
+    /** The rate of the moment against the mean. */
+    private static double shape(Experiment experiment, double swing, long at) {
+        Clients clients = experiment.clients();
+        double phase = (double) at / clients.swingPeriod();
+        return switch (clients.arrivals()) {
+            case POISSON -> 1;
+            case BURSTY -> phase % 1 < BURST_SHARE ? BURST_RATE
+                : (1 - BURST_SHARE * BURST_RATE) / (1 - BURST_SHARE);
+            case SWING -> 1 + swing * Math.sin(2 * Math.PI * phase);
+            case STEPS -> clients.steps().get(Math.min(clients.steps().size() - 1,
+                (int) (at * clients.steps().size() / experiment.length())));
+        };
+    }
+
+    private static double work(Spread spread, double mean, double cv, RandomGenerator random) {
+        double work = switch (spread) {
+            case EXP -> mean * random.nextExponential();
+            case FIXED -> mean;
+            case LOGNORMAL -> {
+                double variance = Math.log1p(cv * cv);
+                yield mean * Math.exp(random.nextGaussian() * Math.sqrt(variance) - variance / 2);
+            }
+        };
+        return Math.max(1, work);
+    }
+
+    private static List<Break> breaks(Experiment experiment, long seed, List<Node> nodes) {
+        List<Break> result = new ArrayList<>();
+        int number = 0;
+        for (Fault fault : experiment.faults()) {
+            RandomGenerator random = Seeds.stream(seed, "fault " + number++);
+            for (int i = 0; i < fault.times(); i++) {
+                result.add(new Break(fault.at() + i * fault.every(), fault.lasts(), fault.kind(),
+                    victims(experiment, fault, nodes, random), fault.size().draw(random)));
+            }
+        }
+        result.sort(Comparator.comparingLong(Break::at));
+        return result;
+    }
+
+    private static List<Integer> victims(Experiment experiment, Fault fault, List<Node> nodes,
+        RandomGenerator random) {
+        if (fault.kind() == FaultKind.OUTAGE) {
+            return List.of();
+        }
+        List<String> names = fault.kind().ofNodes() ? nodes.stream().map(Node::name).toList()
+            : IntStream.range(0, experiment.proxies().count()).mapToObj(i -> "n" + i).toList();
+        List<Integer> result = new ArrayList<>();
+        for (String victim : fault.victims()) {
+            int index = names.indexOf(victim);
+            if (index < 0) {
+                throw new SpecException("fault " + fault.kind() + ": no victim is named " + victim
+                    + "; there are "
+                    + names.get(0) + " to " + names.get(names.size() - 1));
+            }
+            result.add(index);
+        }
+        if (!result.isEmpty()) {
+            return result;
+        }
+        List<Integer> pool = new ArrayList<>(IntStream.range(0, names.size()).boxed().toList());
+        int most = Math.min(names.size(),
+            Math.max(1, fault.count() > 0 ? fault.count() : (int) Math.round(fault.part() * names.size())));
+        while (result.size() < most) {
+            result.add(pool.remove(random.nextInt(pool.size())));
+        }
+        return result.stream().sorted().toList();
+    }
+
+    private static String hash(List<Node> nodes, double[] means, List<Arrival> arrivals, List<Break> breaks) {
+        MessageDigest digest = Seeds.sha256();
+        for (double mean : means) {
+            digest.update((mean + "\n").getBytes(StandardCharsets.UTF_8));
+        }
+        for (List<?> part : List.of(nodes, arrivals, breaks)) {
+            for (Object item : part) {
+                digest.update((item + "\n").getBytes(StandardCharsets.UTF_8));
+            }
+        }
+        return HexFormat.of().formatHex(digest.digest());
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/plan/Seeds.java
@@ -0,0 +1,35 @@
+package dockrelay.lab.plan;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+/** A stream of random numbers for each purpose, so that a change of one purpose moves none of the others. */
+public final class Seeds {
+    private static final RandomGeneratorFactory<RandomGenerator> FACTORY =
+        RandomGeneratorFactory.of("L64X128MixRandom");
+
+    private Seeds() {
+    }
+
+    public static RandomGenerator stream(long seed, String purpose) {
+        return FACTORY.create(number(seed, purpose));
+    }
+
+    /** A number that is the same for the same seed and purpose, on every machine. */
+    public static long number(long seed, String purpose) {
+        byte[] text = (seed + "/" + purpose).getBytes(StandardCharsets.UTF_8);
+        return ByteBuffer.wrap(sha256().digest(text)).getLong();
+    }
+
+    static MessageDigest sha256() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e); // every runtime has it
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/process/Leftovers.java
@@ -0,0 +1,77 @@
+package dockrelay.lab.process;
+
+import java.io.IOException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Remembers in files which processes the lab has started, so that those of a lab that was killed can be
+ * named and
+ * ended by a later one. A process is known by its id and start time: an id alone may be somebody else's by
+ * then.
+ */
+public final class Leftovers {
+    private final Path folder, own;
+
+    public Leftovers(Path folder) throws IOException {
+        this.folder = folder;
+        Files.createDirectories(folder);
+        own = folder.resolve("lab-" + line(ProcessHandle.current()).replace(' ', '-'));
+    }
+
+    /** Where all labs of this user keep their lists. */
+    public static Path usual() {
+        return Path.of(System.getProperty("java.io.tmpdir"), "dockrelay-lab-"
+            + System.getProperty("user.name"));
+    }
+
+    /** To be called right after a start. */
+    public synchronized void started(ProcessHandle process) throws IOException {
+        Files.writeString(own, line(process) + "\n", java.nio.file.StandardOpenOption.CREATE,
+            java.nio.file.StandardOpenOption.APPEND);
+    }
+
+    /** All that this lab started has ended. */
+    public synchronized void clear() throws IOException {
+        Files.deleteIfExists(own);
+    }
+
+    /** Ends what labs left behind that are no more; returns the ids of what was still there. */
+    public List<Long> end() throws IOException {
+        List<Long> found = new ArrayList<>();
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, "lab-*")) {
+            for (Path file : files) {
+                String[] owner = file.getFileName().toString().substring("lab-".length()).split("-");
+                if (find(owner) != null) {
+                    continue; // it runs still and sees to its own
+                }
+                for (String line : Files.readAllLines(file)) {
+                    ProcessHandle process = find(line.split(" "));
+                    if (process != null) {
+                        found.add(process.pid());
+                        process.destroyForcibly();
+                    }
+                }
+                Files.delete(file);
+            }
+        }
+        return found;
+    }
+
+    private static String line(ProcessHandle process) {
+        return process.pid() + " " + process.info().startInstant().map(Instant::toEpochMilli).orElse(0L);
+    }
+
+    private static ProcessHandle find(String[] words) {
+        if (words.length < 2) {
+            return null; // cut short by a crash while it was written: no process can be known by it
+        }
+        return ProcessHandle.of(Long.parseLong(words[0]))
+            .filter(process -> line(process).equals(words[0] + " " + words[1])).filter(ProcessHandle::isAlive)
+            .orElse(null);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/referee/Referee.java
@@ -0,0 +1,276 @@
+package dockrelay.lab.referee;
+
+import dockrelay.lab.plan.Plan;
+import dockrelay.lab.plan.Seeds;
+import dockrelay.lab.spec.Experiment;
+import dockrelay.lab.spec.Experiment.Effect;
+import dockrelay.lab.spec.Experiment.ServiceClass;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+/**
+ * Judges from what crosses the world's sockets and what the system says of processes, and from nothing else.
+ * Times
+ * are the world's microseconds. It is told from several threads.
+ */
+public final class Referee {
+    /** Every time limit is longer by this on sockets. */
+    private static final long SOCKETS = 50_000;
+    /** All are counted, so many are told. */
+    private static final int MOST_TOLD = 200;
+    /** What a kill or a pause has to do with a connection's end is seen this much around it. */
+    private static final long AROUND = 500_000;
+    /**
+     * A cold node's fall is the proxies' doing where so much of its work came from those told of its start.
+     */
+    private static final double TOLD_SHARE = 2.0 / 3;
+
+    /** One breach. Request and proxy may be empty. */
+    public record Broken(Rule rule, long at, String request, String proxy, String what) {
+    }
+
+    /** Work that reached a cold node. */
+    public record Sent(int proxy, long at, double work) {
+    }
+
+    /** What discovery last wrote to a proxy of a node. */
+    private record Told(boolean usable, long at, long startedMillis) {
+    }
+
+    private record Trouble(int proxy, long from, long until) {
+    }
+
+    private final Plan plan;
+    private final Experiment experiment;
+    private final Map<String, Try> tries = new HashMap<>();
+    private final Map<Long, Told> told = new HashMap<>();
+    private final List<Trouble> troubles = new ArrayList<>();
+    private final List<Broken> broken = new ArrayList<>();
+    private final Map<Rule, Integer> counts = new EnumMap<>(Rule.class);
+    private long attempts, firstTries, allTries, probes, connections, turnedAway;
+
+    public Referee(Plan plan) {
+        this.plan = plan;
+        this.experiment = plan.experiment();
+    }
+
+    public synchronized void sent(Try one, boolean first) {
+        tries.put(one.id, one);
+        allTries++;
+        firstTries += first ? 1 : 0;
+    }
+
+    /** An attempt's last byte has reached a node; null where no client sent such a request. */
+    public synchronized Attempt arrived(int proxy, int node, long now, String id, String method, String path,
+        String key, String content) {
+        Try of = tries.get(id);
+        if (of == null || of.proxy != proxy) {
+            breach(Rule.FOREIGN, now, id, proxy, "reached " + name(node) + ", but no client sent "
+                + (of == null ? "it" : "it by this proxy"));
+            return null;
+        }
+        if (!of.method.equals(method) || !of.path.equals(path) || !of.content.equals(content)
+            || !String.valueOf(of.key).equals(String.valueOf(key))) {
+            breach(Rule.FOREIGN, now, id, proxy, "reached " + name(node) + " changed: " + method + " "
+                + path);
+            return null;
+        }
+        ServiceClass type = experiment.classes().get(of.arrival.serviceClass());
+        if (of.attempts.size() >= experiment.permissions().maxAttempts()) {
+            breach(Rule.ATTEMPTS, now, id, proxy, "attempt " + (of.attempts.size() + 1) + " of "
+                + experiment.permissions().maxAttempts());
+        }
+        for (Attempt earlier : of.attempts) {
+            if (earlier.state == Attempt.State.HELD && !experiment.permissions().secondCopies()) {
+                breach(Rule.ATTEMPTS, now, id, proxy, "a second copy beside the one at "
+                    + name(earlier.node));
+            }
+            if (earlier.state.mayHaveRun()) {
+                String why = forbids(type, earlier, node, now);
+                if (why != null) {
+                    breach(Rule.REPEAT, now, id, proxy, why);
+                }
+            }
+        }
+        Told last = told.get(pair(proxy, node));
+        if (last != null && !last.usable && now > last.at + experiment.rules().drainGrace() + SOCKETS) {
+            breach(Rule.DRAIN, now, id, proxy, "sent to " + name(node) + " "
+                + (now - last.at) / 1000 + " ms after it was told to stop");
+        }
+        RandomGenerator random = Seeds.stream(of.arrival.salt(), "attempt at " + node);
+        double noise = type.attemptNoise().draw(random);
+        double work = of.arrival.work() * Math.exp(random.nextGaussian() * noise - noise * noise / 2);
+        Attempt attempt = new Attempt(of, node, of.attempts.size(), now, Math.max(1, work));
+        of.attempts.add(attempt);
+        attempts++;
+        return attempt;
+    }
+
+    /** Why a class forbids another attempt after one that may have run; null where it does not. */
+    private String forbids(ServiceClass type, Attempt earlier, int node, long now) {
+        if (type.effect() == Effect.IDEMPOTENT) {
+            return null;
+        }
+        if (type.effect() == Effect.AT_MOST_ONCE) {
+            return type.name() + " may have run at " + name(earlier.node) + " and went to " + name(node);
+        }
+        Plan.Node before = plan.nodes().get(earlier.node), next = plan.nodes().get(node);
+        boolean same = switch (type.scope()) {
+            case ALL -> true;
+            case ZONE -> before.zone().equals(next.zone());
+            case CELL -> before.cell() == next.cell();
+        };
+        if (!same) {
+            return type.name() + " went from " + before.name() + " to " + next.name() + ", another "
+                + type.scope().name().toLowerCase(java.util.Locale.ROOT);
+        }
+        return now - earlier.at <= type.window() + SOCKETS ? null : type.name() + " went to " + next.name()
+            + " "
+            + (now - earlier.at) / 1000 + " ms after " + before.name() + ", which remembers it for "
+            + type.window() / 1000;
+    }
+
+    public synchronized void ended(Attempt attempt, Attempt.State state, double spent) {
+        attempt.state = state;
+        attempt.spent = Math.max(0, spent);
+        turnedAway += state == Attempt.State.TURNED_AWAY ? 1 : 0;
+    }
+
+    /** A client has a whole answer. */
+    public synchronized void answered(Try one, long now, int status, String body) {
+        if (status == 200) {
+            for (Attempt attempt : one.attempts) {
+                if (attempt.state == Attempt.State.SERVED && attempt.body().equals(body)) {
+                    attempt.won = true;
+                    break;
+                }
+            }
+            if (one.attempts.stream().noneMatch(attempt -> attempt.won)) {
+                breach(Rule.BODY, now, one.id, one.proxy, "served what no node made for it: " + cut(body));
+            }
+        } else if (status == 429 || status == 503) {
+            ServiceClass type = experiment.classes().get(one.arrival.serviceClass());
+            boolean harmless = type.effect() == Effect.IDEMPOTENT
+                || type.effect() == Effect.DEDUPLICATED && type.scope() == Experiment.Scope.ALL;
+            if (!harmless && one.attempts.stream().anyMatch(attempt -> attempt.state.mayHaveRun())) {
+                breach(Rule.REFUSAL, now, one.id, one.proxy, type.name() + " was refused with " + status
+                    + " though it may have run at " + name(one.attempts.get(0).node));
+            }
+        }
+    }
+
+    /**
+     * A client got no whole answer: its time ran out, or the proxy ended the connection. Returns whether that
+     * breaks the rule; it does not where the proxy was killed or paused, which is the lab's doing.
+     */
+    public synchronized boolean lost(Try one, long now, String how) {
+        for (Trouble trouble : troubles) {
+            if (trouble.proxy == one.proxy && one.sentAt <= trouble.until + AROUND
+                && now >= trouble.from - AROUND) {
+                return false;
+            }
+        }
+        breach(Rule.ANSWERED, now, one.id, one.proxy, how);
+        return true;
+    }
+
+    /** Whether any node has seen this try. */
+    public synchronized boolean reached(Try one) {
+        return !one.attempts.isEmpty();
+    }
+
+    /** Discovery has written this entry to a proxy. */
+    public synchronized void told(int proxy, int node, boolean usable, long startedMillis, long now) {
+        Told before = told.get(pair(proxy, node));
+        long since = before != null && before.usable == usable ? before.at : now;
+        told.put(pair(proxy, node), new Told(usable, since, startedMillis));
+    }
+
+    /** A proxy that starts anew knows nothing. */
+    public synchronized void forgot(int proxy) {
+        told.keySet().removeIf(pair -> pair >>> 32 == proxy);
+    }
+
+    /** A cold node fell over under this work. */
+    public synchronized void fell(int node, long startedMillis, List<Sent> work, long now) {
+        double all = 0, knowing = 0;
+        for (Sent sent : work) {
+            Told last = told.get(pair(sent.proxy, node));
+            all += sent.work;
+            knowing += last != null && last.startedMillis >= startedMillis ? sent.work : 0;
+        }
+        if (knowing >= TOLD_SHARE * all) {
+            breach(Rule.COLD, now, "", -1, name(node) + " was pushed over while cold, "
+                + Math.round(100 * knowing / all) + "% of it by proxies told of its start");
+        }
+    }
+
+    /** The lab itself keeps this proxy from answering between two times. */
+    public synchronized void excused(int proxy, long from, long until) {
+        troubles.add(new Trouble(proxy, from, until));
+    }
+
+    public synchronized void process(Rule rule, int proxy, long now, String what) {
+        breach(rule, now, "", proxy, what);
+    }
+
+    public synchronized void probed() {
+        probes++;
+    }
+
+    public synchronized void connected() {
+        connections++;
+    }
+
+    private void breach(Rule rule, long now, String request, int proxy, String what) {
+        counts.merge(rule, 1, Integer::sum);
+        if (broken.size() < MOST_TOLD) {
+            broken.add(new Broken(rule, now, request, proxy < 0 ? "" : "n" + proxy, what));
+        }
+    }
+
+    public synchronized List<Broken> broken() {
+        return new ArrayList<>(broken);
+    }
+
+    public synchronized Map<Rule, Integer> counts() {
+        return new EnumMap<>(counts);
+    }
+
+    /** Figures of the whole run. Work that no client's answer came from is waste. */
+    public synchronized Totals totals() {
+        double useful = 0, waste = 0;
+        for (Try one : tries.values()) {
+            for (Attempt attempt : one.attempts) {
+                if (attempt.won) {
+                    useful += attempt.spent;
+                } else {
+                    waste += attempt.spent;
+                }
+            }
+        }
+        return new Totals(firstTries, allTries, attempts, turnedAway, probes, connections, useful, waste);
+    }
+
+    /** Counts, and work in microseconds of a standard core. */
+    public record Totals(long firstTries, long tries, long attempts, long turnedAway, long probes,
+        long connections, double usefulWork, double wastedWork) {
+    }
+
+    private String name(int node) {
+        return plan.nodes().get(node).name();
+    }
+
+    private static long pair(int proxy, int node) {
+        return (long) proxy << 32 | node;
+    }
+
+    private static String cut(String text) {
+        String plain = text.replaceAll("[^ -~]", "?");
+        return plain.length() > 60 ? plain.substring(0, 60) + "..." : plain;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/report/Result.java
@@ -0,0 +1,243 @@
+package dockrelay.lab.report;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import dockrelay.lab.plan.Plan;
+import dockrelay.lab.plan.Plan.Break;
+import dockrelay.lab.process.Proxies;
+import dockrelay.lab.referee.Referee;
+import dockrelay.lab.referee.Rule;
+import dockrelay.lab.report.Score.End;
+import dockrelay.lab.report.Score.Part;
+import dockrelay.lab.spec.Experiment;
+import dockrelay.lab.spec.Units;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+
+/** What a run came to. Its keys are explained in docs/lab.md. */
+public final class Result {
+    private static final ObjectMapper JSON = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+    private static final double WHOLE = 0.55, WORST_WINDOW = 0.15, WORST_CLASS = 0.3;
+    private static final double WASTE = 0.18, LATE_FAIL = 0.08, PROBE = 0.01;
+    private static final double SECOND = 1_000_000, MILLI = 1_000;
+
+    public final Plan plan;
+    public final Score score;
+    public final List<Sample> samples;
+    public final List<Referee.Broken> broken;
+    private final Map<String, Object> values = new LinkedHashMap<>();
+    private final double g;
+    private final boolean isVoid;
+
+    /** The lab's own figures: what it was late with, and whether that makes the run void. */
+    public record Own(Histogram generatorLateness, Histogram loopLateness, String voidBecause,
+        List<Long> leftovers) {
+    }
+
+    public Result(Plan plan, String build, Score score, Referee referee, List<Proxies.Figures> proxies,
+                  List<Sample> samples, Own own, long fallen, long discoveryLines) {
+        this.plan = plan;
+        this.score = score;
+        this.samples = List.copyOf(samples);
+        this.broken = referee.broken();
+        this.isVoid = own.voidBecause != null;
+        Part whole = score.whole();
+        Referee.Totals totals = referee.totals();
+        double work = totals.usefulWork() + totals.wastedWork();
+        double asked = plan.arrivals().stream().mapToDouble(Plan.Arrival::work).sum();
+        double waste = asked > 0 ? totals.wastedWork() / asked : 0;
+        double lateFail = whole.asked > 0 ? whole.unservedLate / whole.asked : 0;
+        double probes = totals.firstTries() > 0 ? (double) totals.probes() / totals.firstTries() : 0;
+        double prices = WASTE * waste + LATE_FAIL * lateFail + PROBE * probes;
+        g = Math.max(0, WHOLE * whole.share() + WORST_WINDOW * score.worstWindow()
+            + WORST_CLASS * score.worstClass()
+            - prices);
+        Experiment experiment = plan.experiment();
+        values.put("experiment", experiment.name());
+        values.put("shows", experiment.shows());
+        values.put("seed", plan.seed());
+        values.put("plan_sha256", plan.hash());
+        values.put("build", build);
+        values.put("length_s", experiment.length() / SECOND);
+        values.put("void", isVoid);
+        values.put("void_because", own.voidBecause);
+        values.put("g", round(g));
+        values.put("g_parts", map("whole", round(whole.share()), "worst_10s", round(score.worstWindow()),
+            "worst_class", round(score.worstClass()), "waste", round(waste), "late_fail", round(lateFail),
+            "probes_per_request", round(probes)));
+        values.put("whole", part(whole));
+        Map<String, Object> classes = new LinkedHashMap<>();
+        for (int i = 0; i < experiment.classes().size(); i++) {
+            classes.put(experiment.classes().get(i).name(), part(score.ofClass(i)));
+        }
+        values.put("classes", classes);
+        double first = Math.max(1, totals.firstTries());
+        values.put("attempts", map("per_request", round(totals.attempts() / first), "turned_away",
+            totals.turnedAway(), "new_connections_per_request", round(totals.connections() / first),
+            "work_used_share", work > 0 ? round(totals.usefulWork() / work) : 1.0));
+        values.put("rules_broken", rules(referee.counts()));
+        List<Map<String, Object>> told = new ArrayList<>();
+        for (Referee.Broken one : broken) {
+            told.add(map("rule", word(one.rule()), "at_s", round(one.at() / SECOND), "request", one.request(),
+                "proxy", one.proxy(), "what", one.what()));
+        }
+        values.put("broken", told);
+        List<Map<String, Object>> processes = new ArrayList<>();
+        for (Proxies.Figures one : proxies) {
+            processes.add(map("name", one.name(), "starts", one.starts(), "peak_mib", one.peakKib() >> 10,
+                "peak_descriptors", one.peakDescriptors(), "cpu_s", round(one.cpuSeconds())));
+        }
+        values.put("proxies", processes);
+        values.put("nodes", map("count", plan.nodes().size(), "fell_over", fallen, "mean_held",
+            round(samples.stream().mapToDouble(Sample::mean).average().orElse(0)), "most_held",
+            samples.stream().mapToInt(Sample::most).max().orElse(0), "discovery_lines", discoveryLines));
+        List<Map<String, Object>> faults = new ArrayList<>();
+        for (Break one : plan.breaks()) {
+            faults.add(map("kind", one.kind().name().toLowerCase(Locale.ROOT), "at_s", one.at() / SECOND,
+                "until_s",
+                one.until() / SECOND, "victims", victims(one), "size", round(one.size())));
+        }
+        values.put("faults", faults);
+        values.put("lab", map("generator_late_ms", percentiles(own.generatorLateness), "loop_late_ms",
+            percentiles(own.loopLateness), "leftovers_ended", own.leftovers));
+    }
+
+    public double g() {
+        return g;
+    }
+
+    public boolean isVoid() {
+        return isVoid;
+    }
+
+    /** Whether every rule was kept. */
+    public boolean kept() {
+        return broken.isEmpty();
+    }
+
+    public Map<String, Object> values() {
+        return values;
+    }
+
+    public List<String> victims(Break one) {
+        return one.victims().stream().map(victim -> one.kind().ofNodes() ? plan.nodes().get(victim).name()
+            : "n" + victim).toList();
+    }
+
+    public void write(Path folder) throws IOException {
+        JSON.writeValue(folder.resolve("result.json").toFile(), values);
+        Files.writeString(folder.resolve("series.csv"), series());
+        Files.writeString(folder.resolve("report.html"), HtmlReport.of(this));
+    }
+
+    /** A row a second, by when requests were meant to leave. */
+    private String series() {
+        StringBuilder text =
+            new StringBuilder("second,asked,earned,requests,in_time,late,refused,failed,unanswered,"
+            + "unreachable,tries,p50_ms,p99_ms,held_mean,held_most,nodes_down,nodes_crowded\n");
+        Part[] seconds = score.seconds();
+        for (int i = 0; i < seconds.length; i++) {
+            Part part = seconds[i];
+            text.append(String.format(Locale.ROOT, "%d,%.3f,%.3f,%d", i, part.asked, part.earned,
+                part.requests));
+            for (End end : End.values()) {
+                text.append(',').append(part.count(end));
+            }
+            Sample sample = sampleAt(i);
+            text.append(String.format(Locale.ROOT, ",%d,%.2f,%.2f,%.2f,%d,%d,%d%n", part.tries,
+                part.latency.getValueAtPercentile(50) / MILLI, part.latency.getValueAtPercentile(99) / MILLI,
+                sample.mean(), sample.most(), sample.down(), sample.crowded()));
+        }
+        return text.toString();
+    }
+
+    private Sample sampleAt(double second) {
+        Sample last = new Sample(second, 0, 0, 0, 0, 0);
+        for (Sample sample : samples) {
+            if (sample.at() <= second + 1) {
+                last = sample;
+            }
+        }
+        return last;
+    }
+
+    private static Map<String, Object> part(Part part) {
+        Map<String, Object> ends = new LinkedHashMap<>();
+        for (End end : End.values()) {
+            ends.put(word(end), part.count(end));
+        }
+        return map("worth_in_time", round(part.share()), "requests", part.requests, "tries_per_request",
+            round(part.requests > 0 ? (double) part.tries / part.requests : 0), "ends", ends, "latency_ms",
+            percentiles(part.latency));
+    }
+
+    private static Map<String, Object> percentiles(Histogram of) {
+        return map("p50", round(of.getValueAtPercentile(50) / MILLI), "p90",
+            round(of.getValueAtPercentile(90) / MILLI),
+            "p99", round(of.getValueAtPercentile(99) / MILLI), "p999",
+            round(of.getValueAtPercentile(99.9) / MILLI),
+            "max", round(of.getMaxValue() / MILLI));
+    }
+
+    private static Map<String, Object> rules(Map<Rule, Integer> counts) {
+        Map<String, Object> result = new LinkedHashMap<>();
+        for (Rule rule : Rule.values()) {
+            result.put(word(rule), counts.getOrDefault(rule, 0));
+        }
+        return result;
+    }
+
+    private static Map<String, Object> map(Object... keysAndValues) {
+        Map<String, Object> result = new LinkedHashMap<>();
+        for (int i = 0; i < keysAndValues.length; i += 2) {
+            result.put((String) keysAndValues[i], keysAndValues[i + 1]);
+        }
+        return result;
+    }
+
+    private static String word(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT);
+    }
+
+    private static double round(double value) {
+        return Math.round(value * 1e4) / 1e4;
+    }
+
+    /** For people, in a few lines. */
+    public String summary() {
+        Part whole = score.whole();
+        StringBuilder text = new StringBuilder();
+        text.append(String.format(Locale.ROOT,
+            "%s, seed %d: G %.3f, worth in time %.3f (worst 10 s %.3f, worst class "
+            + "%.3f)%n", plan.experiment().name(), plan.seed(), g, whole.share(), score.worstWindow(),
+            score.worstClass()));
+        text.append(String.format(Locale.ROOT,
+            "%d requests at %.0f/s: in time %d, late %d, refused %d, failed %d, "
+            + "unanswered %d, unreachable %d; p50 %s, p99 %s%n", whole.requests, plan.rate(),
+            whole.count(End.IN_TIME),
+            whole.count(End.LATE), whole.count(End.REFUSED), whole.count(End.FAILED),
+            whole.count(End.UNANSWERED),
+            whole.count(End.UNREACHABLE), Units.time(whole.latency.getValueAtPercentile(50)),
+            Units.time(whole.latency.getValueAtPercentile(99))));
+        if (isVoid) {
+            text.append("VOID: ").append(values.get("void_because")).append('\n');
+        }
+        if (kept()) {
+            return text.append("every rule kept\n").toString();
+        }
+        for (Referee.Broken one : broken.subList(0, Math.min(10, broken.size()))) {
+            text.append(String.format(Locale.ROOT, "BROKEN %s at %.3f s%s%s: %s%n", word(one.rule()),
+                one.at() / SECOND,
+                one.proxy().isEmpty() ? "" : " by " + one.proxy(),
+                one.request().isEmpty() ? "" : ", request " + one.request(), one.what()));
+        }
+        return text.append(broken.size()).append(" breaches told, counts in result.json\n").toString();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/report/Score.java
@@ -0,0 +1,120 @@
+package dockrelay.lab.report;
+
+import dockrelay.lab.plan.Plan;
+import dockrelay.lab.plan.Plan.Arrival;
+import dockrelay.lab.spec.Experiment.ServiceClass;
+import java.util.EnumMap;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+
+/**
+ * What became of the clients' requests, by the second they were meant to leave in. Worth goes by work: a
+ * request is
+ * worth its class's worth times its work over the class's mean. Told from the clients' loop, read after the
+ * run.
+ */
+public final class Score {
+    /** How a client's request ended, over all its tries. */
+    public enum End { IN_TIME, LATE, REFUSED, FAILED, UNANSWERED, UNREACHABLE }
+
+    private static final long SECOND = 1_000_000;
+    private static final int WINDOW = 10;
+    private static final long LONGEST = 3_600 * SECOND;
+
+    /** What was asked for and earned in a span, in one class or in all. */
+    public static final class Part {
+        public double asked, earned, unservedLate;
+        public long requests, tries;
+        public final Map<End, Long> ends = new EnumMap<>(End.class);
+        public final Histogram latency = new Histogram(LONGEST, 3);
+
+        private void add(double worth, double share, boolean late, End how, long latencyMicros, int ofTries) {
+            asked += worth;
+            earned += worth * share;
+            unservedLate += late ? worth : 0;
+            requests++;
+            tries += ofTries;
+            ends.merge(how, 1L, Long::sum);
+            if (how == End.IN_TIME || how == End.LATE) {
+                latency.recordValue(Math.min(LONGEST, Math.max(0, latencyMicros)));
+            }
+        }
+
+        public double share() {
+            return asked > 0 ? earned / asked : 1;
+        }
+
+        public long count(End end) {
+            return ends.getOrDefault(end, 0L);
+        }
+    }
+
+    private final Plan plan;
+    private final Part whole = new Part();
+    private final Part[] classes;
+    private final Part[] seconds;
+
+    public Score(Plan plan) {
+        this.plan = plan;
+        classes = parts(plan.experiment().classes().size());
+        seconds = parts((int) ((plan.experiment().length() + SECOND - 1) / SECOND));
+    }
+
+    private static Part[] parts(int count) {
+        Part[] result = new Part[count];
+        for (int i = 0; i < count; i++) {
+            result[i] = new Part();
+        }
+        return result;
+    }
+
+    /** Latency counts from the intended send. */
+    public synchronized void ended(Arrival arrival, End how, long latency, int tries) {
+        ServiceClass type = plan.experiment().classes().get(arrival.serviceClass());
+        double worth = type.worth() * arrival.work() / plan.meanWork()[arrival.serviceClass()];
+        double share = how == End.IN_TIME ? 1 : how == End.LATE ? type.lateWorth() : 0;
+        boolean late = share == 0 && latency > type.aim();
+        Part second = seconds[(int) (arrival.at() / SECOND)];
+        for (Part part : new Part[] {second, classes[arrival.serviceClass()]}) {
+            part.add(worth, share, late, how, latency, tries);
+        }
+        if (arrival.at() >= plan.experiment().settle()) {
+            whole.add(worth, share, late, how, latency, tries);
+        }
+    }
+
+    public synchronized Part whole() {
+        return whole;
+    }
+
+    public synchronized Part ofClass(int index) {
+        return classes[index];
+    }
+
+    public synchronized Part[] seconds() {
+        return seconds.clone();
+    }
+
+    /** The share of worth earned in the worst ten seconds on end. */
+    public synchronized double worstWindow() {
+        double worst = whole.share();
+        int first = (int) (plan.experiment().settle() / SECOND);
+        for (int i = first; i + WINDOW <= seconds.length; i++) {
+            double asked = 0, earned = 0;
+            for (int j = i; j < i + WINDOW; j++) {
+                asked += seconds[j].asked;
+                earned += seconds[j].earned;
+            }
+            worst = asked > 0 ? Math.min(worst, earned / asked) : worst;
+        }
+        return worst;
+    }
+
+    public synchronized double worstClass() {
+        double worst = 1;
+        for (Part part : classes) {
+            worst = Math.min(worst, part.share());
+        }
+        return worst;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/spec/Experiment.java
@@ -0,0 +1,108 @@
+package dockrelay.lab.spec;
+
+import java.util.List;
+
+/** What an experiment file says, checked and with its defaults. Times are in microseconds. */
+public record Experiment(String name, String shows, long length, long settle, Proxies proxies, Nodes nodes,
+                         Clients clients, List<ServiceClass> classes, Discovery discovery, Rules rules,
+                         Permissions permissions, List<Fault> faults) {
+
+    /** How arrivals are spread over time. */
+    public enum Arrivals { POISSON, BURSTY, SWING, STEPS }
+
+    /** How work is drawn. */
+    public enum Spread { EXP, LOGNORMAL, FIXED }
+
+    /** Whether a request may run twice, as the settings name it. */
+    public enum Effect { IDEMPOTENT, DEDUPLICATED, AT_MOST_ONCE }
+
+    /** Which nodes drop a repeat. */
+    public enum Scope { ALL, ZONE, CELL }
+
+    /** What makes a cold node warm. */
+    public enum WarmBy { REQUESTS, TIME }
+
+    /** What can break. */
+    public enum FaultKind {
+        CRASH(true), SLOW(true), FAST_ERRORS(true), NEIGHBOUR(true), DRAIN(true), KILL(false), TERM(false),
+        PAUSE(false), HANGUP(false), OUTAGE(null);
+
+        private final Boolean nodes;
+
+        FaultKind(Boolean nodes) {
+            this.nodes = nodes;
+        }
+
+        /** Whether its victims are nodes. */
+        public boolean ofNodes() {
+            return Boolean.TRUE.equals(nodes);
+        }
+
+        /** Whether its victims are proxies. */
+        public boolean ofProxies() {
+            return Boolean.FALSE.equals(nodes);
+        }
+    }
+
+    /** The processes under test. */
+    public record Proxies(int count, long memory, int descriptors, double cores, long startWithin) {
+    }
+
+    /** The emulated fleet. */
+    public record Nodes(int count, List<String> zones, int cellSize, List<Kind> kinds, Choke choke,
+                        Connections connections, Probes probes) {
+    }
+
+    /** A kind of machine. Speeds are in units of a standard core. */
+    public record Kind(String name, double share, int cores, Range speed, Range slotsPerCore,
+        Range queuePerCore,
+                       Range coldFrom, Range coldTime, WarmBy warmBy, Range errorRate, boolean dropsExpired,
+                       boolean stopsOnCancel) {
+    }
+
+    /** Crowding: a node that holds so many requests a core for so long turns slower. */
+    public record Choke(Range at, Range over, Range slower, Range below, Range rest, Range most) {
+    }
+
+    /** What connections cost a node. */
+    public record Connections(Range handshakeWork, Range handshakeDelay, long idle, long connectTimeout,
+        Range capPerCore, Range fullTax) {
+    }
+
+    /** What probes cost, and how old and inexact reports are. */
+    public record Probes(Range work, Range period, Range noise) {
+    }
+
+    /** The load and how clients act. */
+    public record Clients(double load, double rate, Arrivals arrivals, Range swing, long swingPeriod,
+                          List<Double> steps, Range retries, Range tryShare, Range backoff, double honour,
+                          long maxRetryAfter, Range notice) {
+    }
+
+    /** A class of requests. */
+    public record ServiceClass(String name, double share, Range work, Spread spread, Range cv,
+        Range attemptNoise,
+                               long aim, long deadline, double worth, double lateWorth, Effect effect,
+                               Scope scope, long window) {
+    }
+
+    /** How late and how busy discovery is. */
+    public record Discovery(Range noticeDeath, Range noticeStart, Range callCost, Range lineCost,
+        long timeout) {
+    }
+
+    /** The figures of the rules. */
+    public record Rules(long answerSlack, long askWithin, double coldShare, long cold, long drainGrace,
+        long fall, double fallMultiple) {
+    }
+
+    /** What the settings allow the proxies. */
+    public record Permissions(int maxAttempts, boolean cancel, boolean secondCopies, boolean probes,
+        boolean peers, boolean retryAfter) {
+    }
+
+    /** Something that breaks: once, or again and again, on victims that are named or drawn. */
+    public record Fault(FaultKind kind, long at, long lasts, double part, int count, List<String> victims,
+        Range size, long every, int times) {
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/spec/Section.java
@@ -0,0 +1,264 @@
+package dockrelay.lab.spec;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.function.ToDoubleFunction;
+import org.tomlj.Toml;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlParseError;
+import org.tomlj.TomlParseResult;
+import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
+
+/**
+ * One table of an experiment file. Each read says what is allowed, so an error can; {@link #done()} names
+ * the keys that nothing has read.
+ */
+final class Section {
+    private static final int FAR = 3;
+
+    private final Path file;
+    private final TomlTable table;
+    private final String path;
+    private final Set<String> read = new LinkedHashSet<>();
+
+    private Section(Path file, TomlTable table, String path) {
+        this.file = file;
+        this.table = table;
+        this.path = path;
+    }
+
+    static Section of(Path file, String text) throws IOException {
+        TomlParseResult parsed = Toml.parse(text);
+        if (parsed.hasErrors()) {
+            TomlParseError first = parsed.errors().get(0);
+            throw new SpecException(file + ":" + first.position().line() + ": not TOML: "
+                + first.getMessage().replace('\n', ' '));
+        }
+        return new Section(file, parsed, "");
+    }
+
+    /** A table that may be absent: every key then has its default. */
+    Section child(String key) {
+        Object value = get(key);
+        if (value == null) {
+            return new Section(file, Toml.parse(""), path + key + ".");
+        }
+        if (value instanceof TomlTable below) {
+            return new Section(file, below, path + key + ".");
+        }
+        throw wrong(key, "a table, [" + path + key + "]");
+    }
+
+    /** The tables of an array of them; none where it is absent. */
+    List<Section> each(String key) {
+        List<Section> result = new ArrayList<>();
+        Object value = get(key);
+        if (value == null) {
+            return result;
+        }
+        if (!(value instanceof TomlArray array)) {
+            throw wrong(key, "tables, [[" + path + key + "]]");
+        }
+        for (int i = 0; i < array.size(); i++) {
+            if (!(array.get(i) instanceof TomlTable)) {
+                throw wrong(key, "tables, [[" + path + key + "]]");
+            }
+            result.add(new Section(file, array.getTable(i), path + key + "[" + i + "]."));
+        }
+        return result;
+    }
+
+    boolean has(String key) {
+        return table.contains(List.of(key));
+    }
+
+    String text(String key, String fallback) {
+        Object value = get(key);
+        if (value == null && fallback != null) {
+            return fallback;
+        }
+        if (value instanceof String text) {
+            return text;
+        }
+        throw wrong(key, "a text in quotes");
+    }
+
+    List<String> texts(String key) {
+        List<String> result = new ArrayList<>();
+        Object value = get(key);
+        if (value == null) {
+            return result;
+        }
+        if (value instanceof TomlArray array) {
+            for (int i = 0; i < array.size(); i++) {
+                if (!(array.get(i) instanceof String text)) {
+                    throw wrong(key, "a list of texts in quotes");
+                }
+                result.add(text);
+            }
+            return result;
+        }
+        throw wrong(key, "a list of texts in quotes");
+    }
+
+    <T extends Enum<T>> T choice(String key, T fallback, Class<T> type) {
+        String words = String.join(", ", Arrays.stream(type.getEnumConstants()).map(Section::word).toList());
+        String text = text(key, fallback == null ? null : word(fallback));
+        for (T constant : type.getEnumConstants()) {
+            if (word(constant).equals(text)) {
+                return constant;
+            }
+        }
+        throw wrong(key, "one of " + words);
+    }
+
+    static String word(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT);
+    }
+
+    boolean flag(String key, boolean fallback) {
+        Object value = get(key);
+        if (value == null) {
+            return fallback;
+        }
+        if (value instanceof Boolean flag) {
+            return flag;
+        }
+        throw wrong(key, "true or false");
+    }
+
+    int count(String key, int fallback, int least, int most) {
+        Object value = get(key);
+        if (value == null) {
+            return fallback;
+        }
+        if (value instanceof Long count && count >= least && count <= most) {
+            return count.intValue();
+        }
+        throw wrong(key, "a whole number from " + least + " to " + most);
+    }
+
+    double number(String key, double fallback, double least, double most) {
+        Object value = get(key);
+        double number = value == null ? fallback : value instanceof Number given ? given.doubleValue()
+            : Double.NaN;
+        if (number >= least && number <= most) {
+            return number;
+        }
+        throw wrong(key, "a number from " + Units.plain(least) + " to " + Units.plain(most));
+    }
+
+    Range range(String key, Range fallback, double least, double most) {
+        return range(key, fallback, least, most, value -> value instanceof Number number
+            ? number.doubleValue()
+            : Double.NaN, "a number, or two as [low, high], from " + Units.plain(least) + " to "
+            + Units.plain(most));
+    }
+
+    /** A time, in microseconds. */
+    long time(String key, long fallback, long least, long most) {
+        Range range = times(key, Range.of(fallback), least, most);
+        if (range.low() != range.high()) {
+            throw wrong(key, "one time from " + Units.time(least) + " to " + Units.time(most));
+        }
+        return Math.round(range.low());
+    }
+
+    Range times(String key, Range fallback, long least, long most) {
+        return range(key, fallback, least, most,
+            value -> value instanceof String text ? Units.micros(text) : Double.NaN,
+            "a time such as \"250ms\", or two as [low, high], from " + Units.time(least) + " to "
+            + Units.time(most));
+    }
+
+    long bytes(String key, long fallback, long least, long most) {
+        Object value = get(key);
+        double bytes = value == null ? fallback : value instanceof String text ? Units.bytes(text)
+            : Double.NaN;
+        if (bytes >= least && bytes <= most) {
+            return Math.round(bytes);
+        }
+        throw wrong(key, "a size such as \"192MiB\", from " + least + " to " + most + " bytes");
+    }
+
+    private Range range(String key, Range fallback, double least, double most, ToDoubleFunction<Object> read,
+        String allowed) {
+        Object value = get(key);
+        if (value == null) {
+            return fallback;
+        }
+        Range range = value instanceof TomlArray array && array.size() == 2
+            ? new Range(read.applyAsDouble(array.get(0)), read.applyAsDouble(array.get(1)))
+            : Range.of(read.applyAsDouble(value));
+        if (range.low() >= least && range.high() <= most && range.low() <= range.high()) {
+            return range;
+        }
+        throw wrong(key, allowed);
+    }
+
+    private Object get(String key) {
+        read.add(key);
+        return table.get(List.of(key));
+    }
+
+    /** Refuses what has not been read, as a misspelt key would otherwise be taken for its default. */
+    void done() {
+        for (String key : table.keySet()) {
+            if (!read.contains(key)) {
+                String near =
+                    read.stream().min(Comparator.comparingInt((String known) -> distance(known, key)))
+                    .filter(known -> distance(known, key) <= FAR).map(known -> "; did you mean " + path
+                    + known + "?")
+                    .orElse("; known here: " + String.join(", ", read));
+                throw new SpecException(at(key) + "unknown key " + path + key + " = " + shown(key) + near);
+            }
+        }
+    }
+
+    SpecException wrong(String key, String allowed) {
+        return new SpecException(at(key) + path + key + " = " + shown(key) + ": allowed is " + allowed);
+    }
+
+    private String at(String key) {
+        TomlPosition position = table.inputPositionOf(List.of(key));
+        return position == null ? file + ": " : file + ":" + position.line() + ": ";
+    }
+
+    private String shown(String key) {
+        Object value = table.get(List.of(key));
+        if (value == null) {
+            return "(missing)";
+        }
+        if (value instanceof TomlArray array) {
+            return array.toJson().replaceAll("\\s+", " ").trim();
+        }
+        return value instanceof TomlTable ? "{...}" : value instanceof String ? "\"" + value + "\""
+            : value.toString();
+    }
+
+    /** Levenshtein's distance. */
+    private static int distance(String a, String b) {
+        int[] before = new int[b.length() + 1];
+        for (int j = 0; j <= b.length(); j++) {
+            before[j] = j;
+        }
+        for (int i = 1; i <= a.length(); i++) {
+            int[] now = new int[b.length() + 1];
+            now[0] = i;
+            for (int j = 1; j <= b.length(); j++) {
+                int other = before[j - 1] + (a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1);
+                now[j] = Math.min(other, Math.min(before[j], now[j - 1]) + 1);
+            }
+            before = now;
+        }
+        return before[b.length()];
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/world/Clients.java
@@ -0,0 +1,218 @@
+package dockrelay.lab.world;
+
+import dockrelay.lab.plan.Plan;
+import dockrelay.lab.plan.Plan.Arrival;
+import dockrelay.lab.plan.Seeds;
+import dockrelay.lab.referee.Referee;
+import dockrelay.lab.referee.Try;
+import dockrelay.lab.report.Score;
+import dockrelay.lab.report.Score.End;
+import dockrelay.lab.spec.Experiment;
+import dockrelay.lab.spec.Experiment.Effect;
+import dockrelay.lab.spec.Experiment.Scope;
+import dockrelay.lab.spec.Experiment.ServiceClass;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
+import java.util.Locale;
+import java.util.random.RandomGenerator;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Open-loop clients: each request leaves at its planned time whatever became of the others, and its time
+ * counts from
+ * then. One loop's thread owns them.
+ */
+public final class Clients {
+    /** Every time limit is longer by this on sockets. */
+    private static final long SOCKETS = 50_000;
+
+    private final Plan plan;
+    private final Experiment experiment;
+    private final Net net;
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Referee referee;
+    private final Front front;
+    private final Score score;
+    private final Histogram lateness = new Histogram(3);
+    private int next;
+    private long zero;
+    private int inHand;
+
+    public Clients(Plan plan, Net net, Clock clock, Referee referee, Front front, Score score) {
+        this.plan = plan;
+        this.experiment = plan.experiment();
+        this.net = net;
+        this.loop = net.clients();
+        this.clock = clock;
+        this.referee = referee;
+        this.front = front;
+        this.score = score;
+    }
+
+    /** Sends from this moment on. */
+    public void start(long at) {
+        zero = at;
+        loop.execute(this::pump);
+    }
+
+    /** Sends what is due, then sleeps until the next is. */
+    private void pump() {
+        while (next < plan.arrivals().size()) {
+            Arrival arrival = plan.arrivals().get(next);
+            long wait = zero + arrival.at() - clock.now();
+            if (wait > 0) {
+                net.later(loop, wait, this::pump);
+                return;
+            }
+            lateness.recordValue(-wait);
+            next++;
+            new Request(arrival).send();
+        }
+    }
+
+    /** How much later than planned requests left, in microseconds. */
+    public Histogram lateness() {
+        return loop.submit(lateness::copy).syncUninterruptibly().getNow();
+    }
+
+    /** Requests that are not over yet. */
+    public int inHand() {
+        return loop.submit(() -> inHand + plan.arrivals().size() - next).syncUninterruptibly().getNow();
+    }
+
+    /** One client's request, over all its tries. */
+    final class Request {
+        private final Arrival arrival;
+        private final ServiceClass type;
+        private final long intended;
+        private final RandomGenerator random;
+        private int tries;
+        private boolean crossed;
+
+        Request(Arrival arrival) {
+            this.arrival = arrival;
+            this.type = experiment.classes().get(arrival.serviceClass());
+            this.intended = zero + arrival.at();
+            this.random = Seeds.stream(arrival.salt(), "client");
+            inHand++;
+        }
+
+        private void send() {
+            send(front.pick());
+        }
+
+        private void send(ClientConnection connection) {
+            long now = clock.now();
+            long left = intended + type.deadline() - now;
+            long timeout = Math.min(left, Math.round(type.deadline() * arrival.tryShare()));
+            if (connection == null) {
+                tries++;
+                again(End.UNREACHABLE, true, 0);
+                return;
+            }
+            boolean safe = type.effect() == Effect.IDEMPOTENT;
+            String id = HexFormat.of().toHexDigits(Seeds.number(arrival.salt(), "try " + tries));
+            String content = safe ? "" : "order " + id + " for " + type.name() + "\n";
+            Try one = new Try(id, safe ? "GET" : "POST", "/" + type.name() + "/" + arrival.index(),
+                safe ? null : arrival.key(), content, arrival, connection.proxy(), now, timeout);
+            referee.sent(one, tries == 0);
+            tries++;
+            connection.send(this, one, message(one));
+            connection.deadline(net.later(loop, timeout + experiment.rules().answerSlack() + SOCKETS,
+                () -> connection.overdue(one)));
+        }
+
+        private FullHttpRequest message(Try one) {
+            FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(one.method),
+                one.path, Unpooled.copiedBuffer(one.content, StandardCharsets.UTF_8));
+            message.headers().set(HttpHeaderNames.HOST, "app.svc").set("X-Request-ID", one.id)
+                .set("X-Priority-Class", type.name())
+                .set("X-Timeout", String.format(Locale.ROOT, "%.3f", one.timeout / 1e6));
+            if (one.key != null) {
+                message.headers().set("Idempotency-Key", one.key);
+                message.headers().set(HttpHeaderNames.CONTENT_LENGTH, message.content().readableBytes());
+            }
+            return message;
+        }
+
+        /** The proxy could not be reached at all: nothing was taken. */
+        void unreachable() {
+            again(End.UNREACHABLE, true, 0);
+        }
+
+        /** The connection ended without a whole answer. A request that nobody read may go once more. */
+        void broke(Try one, boolean reused) {
+            long now = clock.now();
+            if (reused && !crossed && !referee.reached(one) && now < one.sentAt + one.timeout) {
+                crossed = true;
+                tries--;
+                send(front.fresh());
+                return;
+            }
+            referee.lost(one, now, "the connection ended without a whole answer after "
+                + (now - one.sentAt) / 1000 + " ms");
+            again(End.FAILED, false, 0);
+        }
+
+        /** No answer although the time and all slack are over. */
+        void unanswered(Try one) {
+            referee.lost(one, clock.now(), "no answer within " + one.timeout / 1000 + " ms");
+            again(End.UNANSWERED, false, 0);
+        }
+
+        void answered(Try one, FullHttpResponse response) {
+            long now = clock.now();
+            int status = response.status().code();
+            referee.answered(one, now, status, response.content().toString(StandardCharsets.UTF_8));
+            if (status == 200) {
+                finish(now - intended <= type.aim() ? End.IN_TIME : now - intended <= type.deadline()
+                    ? End.LATE
+                    : End.FAILED, now - intended);
+                return;
+            }
+            boolean refused = status == 429 || status == 503;
+            double after = 0;
+            String advice = response.headers().get(HttpHeaderNames.RETRY_AFTER);
+            if (advice != null) {
+                try {
+                    after = Math.min(Double.parseDouble(advice) * 1e6, experiment.clients().maxRetryAfter());
+                } catch (NumberFormatException e) {
+                    after = 0; // a date, say: clients here heed seconds
+                }
+            }
+            again(refused ? End.REFUSED : End.FAILED, refused, after);
+        }
+
+        /** Tries again where the client may and still has the time; else this was its end. */
+        private void again(End how, boolean harmless, double advice) {
+            long now = clock.now();
+            boolean may = harmless || type.effect() == Effect.IDEMPOTENT
+                || type.effect() == Effect.DEDUPLICATED && type.scope() == Scope.ALL
+                    && now - intended < type.window();
+            double wait = experiment.clients().backoff().draw(random) * (1 << Math.min(10, tries - 1));
+            if (random.nextDouble() < experiment.clients().honour()) {
+                wait = Math.max(wait, advice);
+            }
+            if (may && tries <= arrival.retries() && now + wait < intended + type.deadline()) {
+                net.later(loop, Math.round(wait), this::send);
+            } else {
+                finish(how, now - intended);
+            }
+        }
+
+        private void finish(End how, long latency) {
+            inHand--;
+            score.ended(arrival, how, latency, tries);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/world/DiscoveryService.java
@@ -0,0 +1,294 @@
+package dockrelay.lab.world;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import dockrelay.lab.plan.Seeds;
+import dockrelay.lab.referee.Referee;
+import dockrelay.lab.spec.Experiment;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/**
+ * The one discovery: whole lists and watches, calls one after another, late news. One loop's thread owns it.
+ */
+public final class DiscoveryService {
+    private static final long ALIVE_MILLIS = 2_000;
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int LONGEST = 64 << 10;
+
+    private record Entry(Node node, String state, long startedMillis, long version) {
+    }
+
+    private static final class Watch {
+        final Channel channel;
+        final int asker;
+        long version;
+
+        Watch(Channel channel, int asker, long version) {
+            this.channel = channel;
+            this.asker = asker;
+            this.version = version;
+        }
+    }
+
+    private final Net net;
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Referee referee;
+    private final List<Entry> entries = new ArrayList<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private final List<Channel> open = new ArrayList<>();
+    private final InetSocketAddress[] addresses;
+    private final RandomGenerator random;
+    private final double callCost, lineCost;
+    private final Experiment.Discovery spec;
+    private long version = 1, busyUntil, lines;
+    private boolean down;
+
+    DiscoveryService(Experiment.Discovery spec, long seed, int askers, List<Node> nodes, Net net, Clock clock,
+        Referee referee) {
+        this.spec = spec;
+        this.net = net;
+        this.loop = net.world();
+        this.clock = clock;
+        this.referee = referee;
+        this.random = Seeds.stream(seed, "discovery");
+        this.callCost = spec.callCost().draw(random);
+        this.lineCost = spec.lineCost().draw(random);
+        for (Node node : nodes) {
+            entries.add(new Entry(node, "active", 0, version));
+        }
+        addresses = new InetSocketAddress[askers];
+        for (int i = 0; i < askers; i++) {
+            int asker = i;
+            addresses[i] = (InetSocketAddress) net.listen(loop, Addresses.discovery(i),
+                () -> new ChannelHandler[] {
+                new HttpServerCodec(), new HttpObjectAggregator(LONGEST), new Call(asker)})
+                    .syncUninterruptibly()
+                .channel().localAddress();
+        }
+        loop.scheduleWithFixedDelay(this::alive, ALIVE_MILLIS, ALIVE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    InetSocketAddress address(int asker) {
+        return addresses[asker];
+    }
+
+    /** A node died: the list knows after a while. */
+    void died(Node node) {
+        later(spec.noticeDeath().draw(random), () -> {
+            if (!node.up()) {
+                change(node, "left");
+            }
+        });
+    }
+
+    /** A node is there again: the list knows after a while. */
+    void started(Node node) {
+        later(spec.noticeStart().draw(random), () -> {
+            if (node.up()) {
+                change(node, "active");
+            }
+        });
+    }
+
+    /** The operators' word reaches the list at once. */
+    void leaving(Node node, boolean on) {
+        change(node, on ? "leaving" : "active");
+    }
+
+    private void later(double micros, Runnable action) {
+        net.later(loop, Math.round(micros), action);
+    }
+
+    private void change(Node node, String state) {
+        version++;
+        entries.set(node.plan().index(), new Entry(node, state, node.startedMillis(), version));
+        for (Watch watch : new ArrayList<>(watches)) {
+            push(watch);
+        }
+    }
+
+    private void push(Watch watch) {
+        List<Entry> changed = entries.stream().filter(entry -> entry.version > watch.version).toList();
+        write(watch, changed, false);
+    }
+
+    private void write(Watch watch, List<Entry> changed, boolean full) {
+        watch.version = version;
+        watch.channel.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(
+            text(changed, full, watch.asker) + "\n", StandardCharsets.UTF_8)));
+        told(changed, watch.asker);
+    }
+
+    private void told(List<Entry> some, int asker) {
+        long now = clock.now();
+        for (Entry entry : some) {
+            referee.told(asker, entry.node.plan().index(), entry.state.equals("active"), entry.startedMillis,
+                now);
+        }
+    }
+
+    /** In the form that proxies are given it in. */
+    private String text(List<Entry> some, boolean full, int asker) {
+        lines += some.size();
+        try {
+            return JSON.writeValueAsString(list(some, full, asker));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** The whole list as of now, for a proxy's configuration. */
+    Map<String, Object> known(int asker) {
+        List<Entry> all = entries.stream().filter(entry -> !entry.state.equals("left")).toList();
+        told(all, asker);
+        return list(all, true, asker);
+    }
+
+    private Map<String, Object> list(List<Entry> some, boolean full, int asker) {
+        List<Map<String, Object>> servers = new ArrayList<>();
+        for (Entry entry : some) {
+            Map<String, Object> one = new LinkedHashMap<>();
+            one.put("id", entry.node.name());
+            one.put("addr", Addresses.text(entry.node.address(asker)));
+            one.put("zone", entry.node.plan().zone());
+            one.put("kind", entry.node.plan().kind());
+            one.put("cell", entry.node.plan().cell());
+            one.put("state", entry.state);
+            one.put("weight", entry.node.plan().figures().cores());
+            one.put("started_ms", entry.startedMillis);
+            servers.add(one);
+        }
+        Map<String, Object> result = new LinkedHashMap<>();
+        result.put("version", version);
+        result.put("full", full);
+        result.put("servers", servers);
+        return result;
+    }
+
+    /** Down: calls fail, watches end; news stays for whoever asks later. */
+    void outage(boolean on) {
+        down = on;
+        if (on) {
+            new ArrayList<>(open).forEach(Channel::close);
+        }
+    }
+
+    long linesSent() {
+        return lines;
+    }
+
+    private void alive() {
+        for (Watch watch : watches) {
+            watch.channel.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer("\n",
+                StandardCharsets.UTF_8)));
+        }
+    }
+
+    private final class Call extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final int asker;
+
+        Call(int asker) {
+            this.asker = asker;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            if (down) {
+                context.close();
+            } else {
+                open.add(context.channel());
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            open.remove(context.channel());
+            watches.removeIf(watch -> watch.channel == context.channel());
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            QueryStringDecoder query = new QueryStringDecoder(request.uri());
+            if (!query.path().equals("/v1/servers")) {
+                fail(context, HttpResponseStatus.NOT_FOUND);
+                return;
+            }
+            boolean watch = query.parameters().containsKey("watch");
+            long after = watch && query.parameters().containsKey("after")
+                ? Long.parseLong(query.parameters().get("after").get(0)) : 0;
+            long now = clock.now();
+            double cost = callCost + lineCost * entries.size();
+            if (busyUntil - now > spec.timeout()) {
+                net.later(loop, spec.timeout(), () -> fail(context, HttpResponseStatus.SERVICE_UNAVAILABLE));
+                return;
+            }
+            busyUntil = Math.max(now, busyUntil) + Math.round(cost);
+            net.later(loop, busyUntil - now, () -> answer(context, watch, after));
+        }
+
+        private void answer(ChannelHandlerContext context, boolean watch, long after) {
+            if (down) {
+                fail(context, HttpResponseStatus.SERVICE_UNAVAILABLE);
+                return;
+            }
+            List<Entry> all = entries.stream().filter(entry -> !entry.state.equals("left")).toList();
+            if (!watch) {
+                FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.OK,
+                    Unpooled.copiedBuffer(text(all, true, asker), StandardCharsets.UTF_8));
+                HttpUtil.setContentLength(response, response.content().readableBytes());
+                context.writeAndFlush(response);
+                told(all, asker);
+                return;
+            }
+            HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            HttpUtil.setTransferEncodingChunked(head, true);
+            context.writeAndFlush(head);
+            Watch one = new Watch(context.channel(), asker, after);
+            boolean full = after <= 0;
+            write(one, full ? all : entries.stream().filter(entry -> entry.version > after).toList(), full);
+            watches.add(one);
+        }
+
+        private void fail(ChannelHandlerContext context, HttpResponseStatus status) {
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                Unpooled.EMPTY_BUFFER);
+            HttpUtil.setContentLength(response, 0);
+            response.headers().set(HttpHeaderNames.CONNECTION, "close");
+            context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/world/Front.java
@@ -0,0 +1,192 @@
+package dockrelay.lab.world;
+
+import dockrelay.lab.plan.Seeds;
+import dockrelay.lab.spec.Experiment;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/**
+ * Spreads clients' connections over the proxies. It lets a proxy in once its healthz said yes after a start,
+ * and
+ * notices late that one is gone. One loop's thread owns it.
+ */
+public final class Front {
+    private static final long ASK_MILLIS = 100;
+    private static final int ASK_TIMEOUT_MILLIS = 1000;
+    private static final int LONGEST = 1 << 20;
+
+    private final InetSocketAddress[] proxies;
+    private final boolean[] admitted;
+    private final long[] failingSince;
+    private final List<ClientConnection> idle = new ArrayList<>();
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Net net;
+    private final RandomGenerator random;
+    private final long notice;
+    private boolean closed;
+
+    public Front(InetSocketAddress[] proxies, Experiment.Clients spec, long seed, Net net, Clock clock) {
+        this.proxies = proxies.clone();
+        this.admitted = new boolean[proxies.length];
+        this.failingSince = new long[proxies.length];
+        this.net = net;
+        this.loop = net.clients();
+        this.clock = clock;
+        this.random = Seeds.stream(seed, "front");
+        this.notice = Math.round(spec.notice().draw(random));
+    }
+
+    /** Asks all proxies from now on whether they can serve. */
+    public void start() {
+        for (int i = 0; i < proxies.length; i++) {
+            int proxy = i;
+            failingSince[i] = -1;
+            loop.execute(() -> ask(proxy));
+        }
+    }
+
+    /** How many proxies it sends to. */
+    public int admitted() {
+        return loop.submit(() -> {
+            int count = 0;
+            for (boolean one : admitted) {
+                count += one ? 1 : 0;
+            }
+            return count;
+        }).syncUninterruptibly().getNow();
+    }
+
+    /** At rest it asks no more. */
+    public void close() {
+        loop.execute(() -> {
+            closed = true;
+            new ArrayList<>(idle).forEach(ClientConnection::end);
+        });
+    }
+
+    private void ask(int proxy) {
+        if (closed) {
+            return;
+        }
+        connect(proxy, new Health(proxy)).addListener(future -> {
+            if (!future.isSuccess()) {
+                heard(proxy, false);
+            }
+        });
+    }
+
+    private void heard(int proxy, boolean well) {
+        long now = clock.now();
+        if (well) {
+            admitted[proxy] = true;
+            failingSince[proxy] = -1;
+        } else if (failingSince[proxy] < 0) {
+            failingSince[proxy] = now;
+        } else if (now - failingSince[proxy] >= notice) {
+            admitted[proxy] = false;
+        }
+        loop.schedule(() -> ask(proxy), ASK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** A connection at rest, or a new one to any proxy that is let in; null where there is none. */
+    ClientConnection pick() {
+        while (!idle.isEmpty()) {
+            int at = random.nextInt(idle.size());
+            ClientConnection one = idle.get(at);
+            idle.set(at, idle.get(idle.size() - 1));
+            idle.remove(idle.size() - 1);
+            if (one.usable()) {
+                return one;
+            }
+        }
+        return fresh();
+    }
+
+    /** A new connection to any proxy that is let in; null where there is none. */
+    ClientConnection fresh() {
+        int count = 0, chosen = -1;
+        for (int i = 0; i < proxies.length; i++) {
+            if (admitted[i] && random.nextInt(++count) == 0) {
+                chosen = i;
+            }
+        }
+        if (chosen < 0) {
+            return null;
+        }
+        ClientConnection connection = new ClientConnection(this, chosen);
+        connection.opening(connect(chosen, connection));
+        return connection;
+    }
+
+    private ChannelFuture connect(int proxy, ChannelHandler handler) {
+        return net.connecting(loop, ASK_TIMEOUT_MILLIS, () -> new ChannelHandler[] {new HttpClientCodec(),
+            new HttpObjectAggregator(LONGEST), handler}).connect(proxies[proxy]);
+    }
+
+    void rest(ClientConnection connection) {
+        idle.add(connection);
+    }
+
+    void closed(ClientConnection connection) {
+        idle.remove(connection);
+    }
+
+    /** What an answer to the question whether a proxy can serve says. */
+    private final class Health extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final int proxy;
+        private boolean heard;
+
+        Health(int proxy) {
+            this.proxy = proxy;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                "/healthz", Unpooled.EMPTY_BUFFER);
+            request.headers().set(HttpHeaderNames.HOST, "app.svc").set(HttpHeaderNames.CONNECTION, "close");
+            context.writeAndFlush(request);
+            context.executor().schedule(() -> context.close(), ASK_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            if (!heard) {
+                heard = true;
+                heard(proxy, response.status().code() == 200);
+            }
+            context.close();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (!heard) {
+                heard = true;
+                heard(proxy, false);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/world/Net.java
@@ -0,0 +1,86 @@
+package dockrelay.lab.world;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/** The world's sockets and loops. */
+public final class Net {
+    private static final int BACKLOG = 1024;
+
+    private final EventLoopGroup world = group("world"), clients = group("clients");
+
+    private final ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(1,
+        new DefaultThreadFactory("timers", true));
+
+    public Net() {
+        timers.setRemoveOnCancelPolicy(true);
+    }
+
+    private static EventLoopGroup group(String name) {
+        return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory(name, true),
+            NioIoHandler.newFactory());
+    }
+
+    /**
+     * Runs this on the loop after a time. The loop's own timers wake by the millisecond, and late by half of
+     * one: a thread that only waits is some 0.1 ms late.
+     */
+    public Future<?> later(EventLoop loop, long micros, Runnable action) {
+        return timers.schedule(() -> loop.execute(action), Math.max(0, micros), TimeUnit.MICROSECONDS);
+    }
+
+    /** Nodes and discovery. */
+    public EventLoop world() {
+        return world.next();
+    }
+
+    public EventLoop clients() {
+        return clients.next();
+    }
+
+    /** Listens at this address; each connection gets the handlers that this gives it. */
+    ChannelFuture listen(EventLoop loop, InetSocketAddress at, Supplier<ChannelHandler[]> handlers) {
+        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(initializer(handlers)).bind(at);
+    }
+
+    Bootstrap connecting(EventLoop loop, int timeoutMillis, Supplier<ChannelHandler[]> handlers) {
+        return new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY,
+            true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis).handler(initializer(handlers));
+    }
+
+    private static ChannelInitializer<Channel> initializer(Supplier<ChannelHandler[]> handlers) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(handlers.get());
+            }
+        };
+    }
+
+    public void close() {
+        timers.shutdownNow();
+        world.shutdownGracefully(0, 500, TimeUnit.MILLISECONDS);
+        clients.shutdownGracefully(0, 500, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/dockrelay/lab/spec/ExperimentReaderTest.java
@@ -0,0 +1,62 @@
+package dockrelay.lab.spec;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockrelay.lab.plan.Plan;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class ExperimentReaderTest {
+    @TempDir
+    Path folder;
+
+    private String wrong(String text) throws IOException {
+        Path file = Files.writeString(folder.resolve("one.toml"), "shows = \"x\"\n" + text);
+        String message = assertThrows(SpecException.class, () -> Plan.of(ExperimentReader.read(file), 1))
+            .getMessage();
+        assertEquals(1, message.lines().count(), message);
+        return message.replace(folder + "/", "");
+    }
+
+    @Test
+    void whatIsWrongIsNamedWithFileLineKeyValueAndWhatIsAllowed() throws IOException {
+        assertEquals("one.toml:3: unknown key nodes.cuont = 5; did you mean nodes.count?",
+            wrong("[nodes]\ncuont = 5\n"));
+        assertEquals("one.toml:2: length = \"20\": allowed is a time such as \"250ms\", or two as [low, "
+            + "high], from 1s to 3600s", wrong("length = \"20\"\n"));
+        assertEquals("one.toml:3: nodes.count = 0: allowed is a whole number from 1 to 1000",
+            wrong("[nodes]\ncount = 0\n"));
+        assertEquals("one.toml:3: fault[0].kind = \"fire\": allowed is one of crash, slow, fast_errors, "
+            + "neighbour, drain, kill, term, pause, hangup, outage", wrong("[[fault]]\nkind = \"fire\"\n"));
+        assertEquals("one.toml:4: class[0].aim = [ \"2s\", \"1s\" ]: allowed is a time such as \"250ms\", "
+            + "or two as [low, high], from 1ms to 3600s",
+            wrong("[[class]]\nname = \"a\"\naim = [\"2s\", \"1s\"]\n"));
+        assertTrue(wrong("length = \n").startsWith("one.toml:2: not TOML: "));
+        assertTrue(wrong("[[fault]]\nkind = \"crash\"\nvictims = [\"s-99\"]\n")
+            .contains("no victim is named s-99"));
+    }
+
+    @Test
+    void theSameSeedGivesTheSamePlanAndAnotherSeedAnother() {
+        Experiment experiment = ExperimentReader.read(Path.of("../experiments/steady.toml"));
+        assertEquals(Plan.of(experiment, 1).hash(), Plan.of(experiment, 1).hash());
+        assertNotEquals(Plan.of(experiment, 1).hash(), Plan.of(experiment, 2).hash());
+    }
+
+    @Test
+    void theExperimentsThatAreKeptCanBeRead() throws IOException {
+        try (Stream<Path> files = Files.list(Path.of("../experiments"))) {
+            for (Path file : files.toList()) {
+                Plan plan = Plan.of(ExperimentReader.read(file), 1);
+                assertTrue(plan.arrivals().size() > 100, file.toString());
+            }
+        }
+    }
+}
