--- a/lab/src/main/java/dockrelay/lab/process/Leftovers.java
+++ b/lab/src/main/java/dockrelay/lab/process/Leftovers.java
@@ -4,9 +4,11 @@
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.UUID;
 
 /**
  * Remembers in files which processes the lab has started, so that those of a lab that was killed can be
@@ -20,7 +22,8 @@
     public Leftovers(Path folder) throws IOException {
         this.folder = folder;
         Files.createDirectories(folder);
-        own = folder.resolve("lab-" + line(ProcessHandle.current()).replace(' ', '-'));
+        own = folder.resolve("lab-" + line(ProcessHandle.current()).replace(' ', '-') + "-"
+            + UUID.randomUUID());
     }
 
     /** Where all labs of this user keep their lists. */
@@ -31,8 +34,8 @@
 
     /** To be called right after a start. */
     public synchronized void started(ProcessHandle process) throws IOException {
-        Files.writeString(own, line(process) + "\n", java.nio.file.StandardOpenOption.CREATE,
-            java.nio.file.StandardOpenOption.APPEND);
+        Files.writeString(own, line(process) + "\n", StandardOpenOption.CREATE,
+            StandardOpenOption.APPEND);
     }
 
     /** All that this lab started has ended. */
--- a/lab/src/main/java/dockrelay/lab/world/Net.java
+++ b/lab/src/main/java/dockrelay/lab/world/Net.java
@@ -17,6 +17,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -31,6 +32,8 @@
 
     public Net() {
         timers.setRemoveOnCancelPolicy(true);
+        // At the end the loops still run for a moment: what they put off then is not to be done any more.
+        timers.setRejectedExecutionHandler(new ThreadPoolExecutor.DiscardPolicy());
     }
 
     private static EventLoopGroup group(String name) {
--- /dev/null
+++ b/lab/src/test/java/dockrelay/lab/RefereeProofTest.java
@@ -0,0 +1,119 @@
+package dockrelay.lab;
+
+import static org.junit.jupiter.api.Assertions.assertAll;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import dockrelay.lab.plan.Plan;
+import dockrelay.lab.process.Build;
+import dockrelay.lab.referee.Rule;
+import dockrelay.lab.report.Result;
+import dockrelay.lab.spec.ExperimentReader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.function.Executable;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * For each rule a proxy that breaks it and no other: what the referee does not see there, it sees nowhere.
+ */
+class RefereeProofTest {
+    private static final Map<String, Set<Rule>> PROOFS = new LinkedHashMap<>();
+
+    static {
+        PROOFS.put("none", Set.of());
+        PROOFS.put("answered", Set.of(Rule.ANSWERED));
+        PROOFS.put("body", Set.of(Rule.BODY));
+        PROOFS.put("foreign", Set.of(Rule.FOREIGN));
+        PROOFS.put("changed", Set.of(Rule.FOREIGN));
+        PROOFS.put("repeat", Set.of(Rule.REPEAT));
+        PROOFS.put("refusal", Set.of(Rule.REFUSAL));
+        PROOFS.put("attempts", Set.of(Rule.ATTEMPTS));
+        PROOFS.put("drain", Set.of(Rule.DRAIN));
+        PROOFS.put("cold", Set.of(Rule.COLD));
+        PROOFS.put("memory", Set.of(Rule.MEMORY));
+        PROOFS.put("descriptors", Set.of(Rule.DESCRIPTORS));
+        PROOFS.put("crash", Set.of(Rule.CRASH, Rule.ANSWERED)); // what it had in hand is lost with it
+        PROOFS.put("deaf", Set.of(Rule.CRASH));
+    }
+
+    @TempDir
+    Path folder;
+
+    private Set<Rule> broken(String fault) throws Exception {
+        Path file = Files.writeString(folder.resolve(fault + ".toml"), """
+            shows = "a proxy that does one thing wrong"
+            length = "5s"
+            [proxies]
+            count = 1
+            memory = "%s"
+            descriptors = 350
+            [nodes]
+            count = 4
+            cell_size = 2
+            [[nodes.kind]]
+            name = "node"
+            cold_from = %s
+            cold_time = "8s"
+            warm_by = "time"
+            [discovery]
+            notice_start = "100ms"
+            notice_death = "100ms"
+            [clients]
+            load = %s
+            retries = 0
+            [rules]
+            drain_grace = "500ms"
+            [[fault]]
+            kind = "drain"
+            at = "1s"
+            lasts = "3s"
+            victims = ["s-2"]
+            [[fault]]
+            kind = "crash"
+            at = "600ms"
+            lasts = "600ms"
+            victims = ["s-1"]
+            """.formatted(fault.equals("memory") ? "300MiB" : "1GiB", fault.equals("cold") ? 0.3 : 1,
+            fault.equals("cold") ? 0.8 : 0.45));
+        Path root = Files.createDirectories(folder.resolve("build-" + fault));
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        Build build = new Build(root, "FAULT=" + fault + " exec " + java + " -Xmx600m -XX:+UseSerialGC -cp '"
+            + System.getProperty("java.class.path") + "' dockrelay.lab.StandIn");
+        Result result = new LabRun(Plan.of(ExperimentReader.read(file), 7), build,
+            folder.resolve("out-" + fault),
+            text -> { }).play();
+        return result.broken.stream().map(one -> one.rule()).collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    @Test
+    void eachRuleIsSeenToBeBrokenByTheProxyThatBreaksItAndByNoOther() throws Exception {
+        ExecutorService pool = Executors.newFixedThreadPool(4);
+        try {
+            Map<String, Future<Set<Rule>>> plays = new LinkedHashMap<>();
+            for (String fault : PROOFS.keySet()) {
+                plays.put(fault, pool.submit(() -> broken(fault)));
+            }
+            List<Executable> checks = new ArrayList<>();
+            for (Map.Entry<String, Set<Rule>> proof : PROOFS.entrySet()) {
+                Set<Rule> seen = plays.get(proof.getKey()).get();
+                checks.add(() -> assertEquals(proof.getValue(), seen, proof.getKey()));
+            }
+            Set<Rule> proven = PROOFS.values().stream().flatMap(Set::stream).collect(Collectors.toSet());
+            checks.add(() -> assertEquals(Set.of(Rule.values()), proven, "a rule without a proof"));
+            assertAll(checks);
+        } finally {
+            pool.shutdownNow();
+        }
+    }
+}
