--- a/lab/src/main/java/dockrelay/lab/Main.java
+++ b/lab/src/main/java/dockrelay/lab/Main.java
@@ -3,12 +3,15 @@
 import dockrelay.lab.plan.Plan;
 import dockrelay.lab.process.Build;
 import dockrelay.lab.report.Result;
+import dockrelay.lab.report.TablePage;
 import dockrelay.lab.spec.Experiment;
 import dockrelay.lab.spec.ExperimentReader;
 import dockrelay.lab.spec.SpecException;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.stream.Stream;
 import picocli.CommandLine;
@@ -18,7 +21,8 @@
 
 /** The lab's commands. Exit codes: 0 done, 1 a rule was broken or the run fell short, 2 misuse. */
 @Command(name = "lab", mixinStandardHelpOptions = true, version = "lab 0.1.0", subcommands = {Main.Run.class,
-    Main.Check.class, Main.ListAll.class}, description = "Plays real proxies against an emulated world.",
+    Main.Compare.class, Main.Sweep.class, Main.Check.class, Main.ListAll.class}, description =
+        "Plays real proxies against an emulated world.",
     exitCodeListHeading = "Exit codes:%n", exitCodeList = {"0:done, every rule kept",
         "1:a rule was broken, or the run is void or could not start",
         "2:misuse: arguments or experiment file"})
@@ -61,10 +65,13 @@
         @Option(names = "--build", defaultValue = "${sys:stoatreel.root:-.}",
             description = "checkout whose deploy/balancer.toml starts the proxies (${DEFAULT-VALUE})")
         Path root;
+        @Option(names = "--set", paramLabel = "KEY=VALUE", description =
+            "laid over the file, such as clients.load=0.8")
+        List<String> settings = new ArrayList<>();
 
         @Override
         public Integer call() throws Exception {
-            Plan plan = Plan.of(ExperimentReader.read(file), seed);
+            Plan plan = Plan.of(ExperimentReader.read(file, settings), seed);
             Build build = Build.of(root);
             Progress progress = new Progress();
             Result result = new LabRun(plan, build, out, progress::say).play();
@@ -75,6 +82,84 @@
         }
     }
 
+    /** Plays two sides in turn on the same seeds. */
+    @Command(name = "compare", mixinStandardHelpOptions = true, description =
+        "Plays two builds or two configurations "
+        + "in turn on the same seeds: paired differences, each with its 95% confidence interval.")
+    static final class Compare implements Callable<Integer> {
+        @Parameters(paramLabel = "FILE", description = "the experiment")
+        Path file;
+        @Option(names = "--a", defaultValue = "${sys:stoatreel.root:-.}", description =
+            "first build (${DEFAULT-VALUE})")
+        Path a;
+        @Option(names = "--b", defaultValue = "${sys:stoatreel.root:-.}", description =
+            "second build (${DEFAULT-VALUE})")
+        Path b;
+        @Option(names = "--set-a", paramLabel = "KEY=VALUE", description = "laid over the file for the first")
+        List<String> settingsA = new ArrayList<>();
+        @Option(names = "--set-b", paramLabel = "KEY=VALUE", description =
+            "laid over the file for the second")
+        List<String> settingsB = new ArrayList<>();
+        @Option(names = "--seeds", split = ",", defaultValue = "1,2,3,4,5", description = "${DEFAULT-VALUE}")
+        List<Long> seeds;
+        @Option(names = "--out", required = true, description =
+            "folder for compare.json, compare.html and each play")
+        Path out;
+
+        @Override
+        public Integer call() throws Exception {
+            Series series = new Series(out, new Progress());
+            return finish(series, series.compare(
+                new Series.Side(name(a, settingsA, "a"), file, settingsA, Build.of(a)),
+                new Series.Side(name(b, settingsB, "b"), file, settingsB, Build.of(b)), seeds), out,
+                "compare.html");
+        }
+
+        private static String name(Path build, List<String> settings, String side) {
+            String folder = build.toAbsolutePath().normalize().getFileName().toString();
+            return side + " " + folder + (settings.isEmpty() ? "" : " " + String.join(" ", settings));
+        }
+    }
+
+    /** Plays one key over some values. */
+    @Command(name = "sweep", mixinStandardHelpOptions = true, description =
+        "Plays one key of the experiment over "
+        + "values: a table and plots.")
+    static final class Sweep implements Callable<Integer> {
+        @Parameters(paramLabel = "FILE", description = "the experiment")
+        Path file;
+        @Option(names = "--key", required = true, description = "such as clients.load")
+        String key;
+        @Option(names = "--values", required = true, split = ",", description = "such as 0.4,0.6,0.8")
+        List<String> values;
+        @Option(names = "--set", paramLabel = "KEY=VALUE", description = "laid over the file for all")
+        List<String> settings = new ArrayList<>();
+        @Option(names = "--seeds", split = ",", defaultValue = "1,2", description = "${DEFAULT-VALUE}")
+        List<Long> seeds;
+        @Option(names = "--build", defaultValue = "${sys:stoatreel.root:-.}", description =
+            "${DEFAULT-VALUE}")
+        Path root;
+        @Option(names = "--out", required = true, description =
+            "folder for sweep.json, sweep.html and each play")
+        Path out;
+
+        @Override
+        public Integer call() throws Exception {
+            Series series = new Series(out, new Progress());
+            Series.Side side = new Series.Side(file.getFileName().toString(), file, settings, Build.of(root));
+            return finish(series, series.sweep(side, key, values, seeds), out, "sweep.html");
+        }
+    }
+
+    private static int finish(Series series, TablePage page, Path out, String file) {
+        System.out.print(page.plain());
+        if (series.leftOut() > 0) {
+            System.out.println(series.leftOut() + " plays were left out, as the lab was late each time");
+        }
+        System.out.println("report: " + out.resolve(file));
+        return series.kept() && series.leftOut() == 0 ? 0 : 1;
+    }
+
     /** Reads an experiment and says what it would play. */
     @Command(name = "check", mixinStandardHelpOptions = true, description =
         "Reads an experiment; starts nothing.")
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/report/Estimate.java
@@ -0,0 +1,22 @@
+package dockrelay.lab.report;
+
+import org.apache.commons.math3.distribution.TDistribution;
+import org.apache.commons.math3.stat.descriptive.DescriptiveStatistics;
+
+/** A mean and half the width of its 95% confidence interval (Student's t); NaN where one value tells none. */
+public record Estimate(double mean, double half, int count) {
+    private static final double TAIL = 0.975;
+
+    public static Estimate of(double... values) {
+        DescriptiveStatistics statistics = new DescriptiveStatistics(values);
+        int count = values.length;
+        double half = count < 2 ? Double.NaN : new TDistribution(count - 1).inverseCumulativeProbability(TAIL)
+            * statistics.getStandardDeviation() / Math.sqrt(count);
+        return new Estimate(statistics.getMean(), half, count);
+    }
+
+    /** Whether the interval leaves out 0. */
+    public boolean differs() {
+        return !Double.isNaN(half) && Math.abs(mean) > half;
+    }
+}
--- a/lab/src/main/java/dockrelay/lab/report/HtmlReport.java
+++ b/lab/src/main/java/dockrelay/lab/report/HtmlReport.java
@@ -34,9 +34,15 @@
                     ? " of " + victims.size() : " " + String.join(" ", victims))));
         }
         data.put("bands", bands);
+        return page("report.html", data);
+    }
+
+    /** A template with the shared style, the charting library and these data in it. */
+    static String page(String template, Map<String, Object> data) throws IOException {
         // A script element ends at the first "</", wherever it stands.
         String json = JSON.writeValueAsString(data).replace("</", "<\\/");
-        return read("/dockrelay/lab/report/report.html")
+        return read("/dockrelay/lab/report/" + template)
+            .replace("/*STYLE*/", read("/dockrelay/lab/report/style.css"))
             .replace("/*UPLOT_CSS*/", read(CHARTS + "min.css"))
             .replace("/*UPLOT_JS*/", read(CHARTS + "iife.min.js").replace("</", "<\\/"))
             .replace("/*DATA*/", json);
--- a/lab/src/main/java/dockrelay/lab/report/Result.java
+++ b/lab/src/main/java/dockrelay/lab/report/Result.java
@@ -33,7 +33,8 @@
     public final List<Sample> samples;
     public final List<Referee.Broken> broken;
     private final Map<String, Object> values = new LinkedHashMap<>();
-    private final double g;
+    private final double g, waste, cpuSeconds;
+    private final Referee.Totals totals;
     private final boolean isVoid;
 
     /** The lab's own figures: what it was late with, and whether that makes the run void. */
@@ -49,10 +50,11 @@
         this.broken = referee.broken();
         this.isVoid = own.voidBecause != null;
         Part whole = score.whole();
-        Referee.Totals totals = referee.totals();
+        totals = referee.totals();
         double work = totals.usefulWork() + totals.wastedWork();
         double asked = plan.arrivals().stream().mapToDouble(Plan.Arrival::work).sum();
-        double waste = asked > 0 ? totals.wastedWork() / asked : 0;
+        cpuSeconds = proxies.stream().mapToDouble(Proxies.Figures::cpuSeconds).sum();
+        waste = asked > 0 ? totals.wastedWork() / asked : 0;
         double lateFail = whole.asked > 0 ? whole.unservedLate / whole.asked : 0;
         double probes = totals.firstTries() > 0 ? (double) totals.probes() / totals.firstTries() : 0;
         double prices = WASTE * waste + LATE_FAIL * lateFail + PROBE * probes;
@@ -113,6 +115,24 @@
         return g;
     }
 
+    /** Work that no client's answer came from, of the work asked for. */
+    public double waste() {
+        return waste;
+    }
+
+    public double attemptsPerRequest() {
+        return totals.attempts() / Math.max(1.0, totals.firstTries());
+    }
+
+    public double connectionsPerRequest() {
+        return totals.connections() / Math.max(1.0, totals.firstTries());
+    }
+
+    /** Of all proxies, in milliseconds. */
+    public double cpuPerRequest() {
+        return 1e3 * cpuSeconds / Math.max(1.0, totals.firstTries());
+    }
+
     public boolean isVoid() {
         return isVoid;
     }
--- a/lab/src/main/java/dockrelay/lab/spec/ExperimentReader.java
+++ b/lab/src/main/java/dockrelay/lab/spec/ExperimentReader.java
@@ -37,8 +37,16 @@
 
     /** Throws a SpecException that says what is wrong in one line. */
     public static Experiment read(Path file) {
+        return read(file, List.of());
+    }
+
+    /** The same with these keys laid over the file's, each as key=value. */
+    public static Experiment read(Path file, List<String> settings) {
         try {
-            return of(Section.of(file, Files.readString(file)), file);
+            Overrides overrides = Overrides.of(settings);
+            Experiment result = of(Section.of(file, Files.readString(file), overrides), file);
+            overrides.done();
+            return result;
         } catch (NoSuchFileException e) {
             throw new SpecException(file + ": no such file");
         } catch (IOException e) {
@@ -119,11 +127,7 @@
     }
 
     private static Section empty() {
-        try {
-            return Section.of(Path.of("defaults"), "");
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
+        return Section.of(Path.of("defaults"), "", Overrides.NONE);
     }
 
     private static Clients clients(Section s) {
--- a/lab/src/main/java/dockrelay/lab/spec/Section.java
+++ b/lab/src/main/java/dockrelay/lab/spec/Section.java
@@ -1,6 +1,5 @@
 package dockrelay.lab.spec;
 
-import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -27,32 +26,34 @@
     private final Path file;
     private final TomlTable table;
     private final String path;
+    private final Overrides overrides;
     private final Set<String> read = new LinkedHashSet<>();
 
-    private Section(Path file, TomlTable table, String path) {
+    private Section(Path file, TomlTable table, String path, Overrides overrides) {
         this.file = file;
         this.table = table;
         this.path = path;
+        this.overrides = overrides;
     }
 
-    static Section of(Path file, String text) throws IOException {
+    static Section of(Path file, String text, Overrides overrides) {
         TomlParseResult parsed = Toml.parse(text);
         if (parsed.hasErrors()) {
             TomlParseError first = parsed.errors().get(0);
             throw new SpecException(file + ":" + first.position().line() + ": not TOML: "
                 + first.getMessage().replace('\n', ' '));
         }
-        return new Section(file, parsed, "");
+        return new Section(file, parsed, "", overrides);
     }
 
     /** A table that may be absent: every key then has its default. */
     Section child(String key) {
         Object value = get(key);
         if (value == null) {
-            return new Section(file, Toml.parse(""), path + key + ".");
+            return new Section(file, Toml.parse(""), path + key + ".", overrides);
         }
         if (value instanceof TomlTable below) {
-            return new Section(file, below, path + key + ".");
+            return new Section(file, below, path + key + ".", overrides);
         }
         throw wrong(key, "a table, [" + path + key + "]");
     }
@@ -71,15 +72,11 @@
             if (!(array.get(i) instanceof TomlTable)) {
                 throw wrong(key, "tables, [[" + path + key + "]]");
             }
-            result.add(new Section(file, array.getTable(i), path + key + "[" + i + "]."));
+            result.add(new Section(file, array.getTable(i), path + key + "[" + i + "].", overrides));
         }
         return result;
     }
 
-    boolean has(String key) {
-        return table.contains(List.of(key));
-    }
-
     String text(String key, String fallback) {
         Object value = get(key);
         if (value == null && fallback != null) {
@@ -206,7 +203,8 @@
 
     private Object get(String key) {
         read.add(key);
-        return table.get(List.of(key));
+        Object given = overrides.get(path + key);
+        return given == null ? table.get(List.of(key)) : given;
     }
 
     /** Refuses what has not been read, as a misspelt key would otherwise be taken for its default. */
@@ -228,12 +226,15 @@
     }
 
     private String at(String key) {
+        if (overrides.get(path + key) != null) {
+            return "--set: ";
+        }
         TomlPosition position = table.inputPositionOf(List.of(key));
         return position == null ? file + ": " : file + ":" + position.line() + ": ";
     }
 
     private String shown(String key) {
-        Object value = table.get(List.of(key));
+        Object value = get(key);
         if (value == null) {
             return "(missing)";
         }
--- a/lab/src/test/java/dockrelay/lab/spec/ExperimentReaderTest.java
+++ b/lab/src/test/java/dockrelay/lab/spec/ExperimentReaderTest.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -43,6 +44,18 @@
             .contains("no victim is named s-99"));
     }
 
+    @Test
+    void aKeyCanBeLaidOverTheFileAndIsCheckedLikeTheFiles() {
+        Path file = Path.of("../experiments/crash.toml");
+        assertEquals(0.7, ExperimentReader.read(file, List.of("clients.load=0.7")).clients().load());
+        assertEquals(9_000_000, ExperimentReader.read(file, List.of("fault[0].lasts=9s")).faults().get(0)
+            .lasts());
+        assertEquals("--set: clients.load = 11: allowed is a number from 0 to 10",
+            assertThrows(SpecException.class, () -> ExperimentReader.read(file, List.of("clients.load=11")))
+                .getMessage());
+        assertThrows(SpecException.class, () -> ExperimentReader.read(file, List.of("clients.laod=1")));
+    }
+
     @Test
     void theSameSeedGivesTheSamePlanAndAnotherSeedAnother() {
         Experiment experiment = ExperimentReader.read(Path.of("../experiments/steady.toml"));
