Lab: faults of the network, the disk and the consoles, upgrades, overlap of faults

Need: the first end could kill processes and spoil nodes; cuts, one-way silence, spoilt folders, marks and upgrades could not be played.

Change: links between any two parties and one way, by a pure Courier played on each connection that ends in the lab, by relays for datagrams and streams between proxies, and by listeners behind which nothing comes up. Upgrades on an inherited socket (JNA: dup2 to descriptor 0 around the start), folders kept or spoilt between processes, RLIMIT_FSIZE, DETACH and ATTACH at every console with the referee holding proxies to them. Faults on one node add up. The referee excuses a proxy that a fault cuts off from its clients.

--- a/lab/src/main/java/dockrelay/lab/LabRun.java
+++ b/lab/src/main/java/dockrelay/lab/LabRun.java
@@ -73,12 +73,12 @@
         }
         Experiment experiment = plan.experiment();
         Referee referee = new Referee(plan);
-        Net net = new Net();
+        Net net = new Net(plan.seed());
         World world = new World(plan, net, clock, referee);
         List<Sample> samples = new ArrayList<>();
         Score score = new Score(plan);
         try (Proxies proxies = new Proxies(plan, build, out.resolve("proxies"), clock, referee, world,
-            leftovers)) {
+            net, leftovers)) {
             Thread killer = new Thread(proxies::close, "killer");
             Runtime.getRuntime().addShutdownHook(killer);
             proxies.start();
@@ -104,7 +104,7 @@
             Result result = new Result(plan, build.root().getFileName().toString(), score, referee,
                 proxies.figures(),
                 samples, new Result.Own(lateness, loop, voidBecause(lateness, loop), left), world.fell(),
-                world.linesSent());
+                world.linesSent(), proxies.peerTraffic());
             Runtime.getRuntime().removeShutdownHook(killer);
             result.write(out);
             return result;
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/process/DiskFaults.java
@@ -0,0 +1,62 @@
+package dockrelay.lab.process;
+
+import dockrelay.lab.spec.Experiment.Disk;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+
+/** What befalls a folder that no process has open. */
+public final class DiskFaults {
+    private static final int MOST_BITS = 8;
+
+    private DiskFaults() {
+    }
+
+    /** Spoils the folder's files and says how; says so too where there is nothing to spoil. */
+    public static String apply(Path folder, Disk kind, RandomGenerator random) throws IOException {
+        List<Path> files = new ArrayList<>();
+        try (Stream<Path> all = Files.walk(folder)) {
+            for (Path file : all.filter(Files::isRegularFile).sorted().toList()) {
+                if (Files.size(file) > 0) {
+                    files.add(file);
+                }
+            }
+        }
+        if (kind == Disk.WHOLE || files.isEmpty()) {
+            return kind == Disk.WHOLE ? "" : "nothing to spoil in " + folder;
+        }
+        Path file = files.get(random.nextInt(files.size()));
+        byte[] bytes = Files.readAllBytes(file);
+        switch (kind) {
+            case TRUNCATED -> {
+                int length = random.nextInt(bytes.length);
+                Files.write(file, java.util.Arrays.copyOf(bytes, length));
+                return file.getFileName() + " cut to " + length + " of " + bytes.length + " bytes";
+            }
+            case FLIPPED -> {
+                int count = 1 + random.nextInt(MOST_BITS);
+                for (int i = 0; i < count; i++) {
+                    bytes[random.nextInt(bytes.length)] ^= (byte) (1 << random.nextInt(8));
+                }
+                Files.write(file, bytes);
+                return file.getFileName() + " with " + count + " bits turned over";
+            }
+            case REMOVED -> {
+                Files.delete(file);
+                return file.getFileName() + " removed";
+            }
+            case SWAPPED -> {
+                Path other = files.get(random.nextInt(files.size()));
+                byte[] others = Files.readAllBytes(other);
+                Files.write(other, bytes);
+                Files.write(file, others);
+                return file.getFileName() + " and " + other.getFileName() + " exchanged";
+            }
+            default -> throw new IllegalArgumentException(kind.name());
+        }
+    }
+}
--- a/lab/src/main/java/dockrelay/lab/referee/Referee.java
+++ b/lab/src/main/java/dockrelay/lab/referee/Referee.java
@@ -48,6 +48,7 @@
     private final Experiment experiment;
     private final Map<String, Try> tries = new HashMap<>();
     private final Map<Long, Told> told = new HashMap<>();
+    private final Map<Long, Long> marked = new HashMap<>();
     private final List<Trouble> troubles = new ArrayList<>();
     private final List<Broken> broken = new ArrayList<>();
     private final Map<Rule, Integer> counts = new EnumMap<>(Rule.class);
@@ -101,6 +102,11 @@
             breach(Rule.DRAIN, now, id, proxy, "sent to " + name(node) + " "
                 + (now - last.at) / 1000 + " ms after it was told to stop");
         }
+        Long out = marked.get(pair(proxy, node));
+        if (out != null && now > out + experiment.rules().drainGrace() + SOCKETS) {
+            breach(Rule.DRAIN, now, id, proxy, "sent to " + name(node) + " " + (now - out) / 1000
+                + " ms after its yes to DETACH");
+        }
         RandomGenerator random = Seeds.stream(of.arrival.salt(), "attempt at " + node);
         double noise = type.attemptNoise().draw(random);
         double work = of.arrival.work() * Math.exp(random.nextGaussian() * noise - noise * noise / 2);
@@ -190,9 +196,23 @@
         told.put(pair(proxy, node), new Told(usable, since, startedMillis));
     }
 
-    /** A proxy that starts anew knows nothing. */
-    public synchronized void forgot(int proxy) {
+    /** A proxy that starts anew knows nothing, but for the operators' marks where its folder is kept. */
+    public synchronized void forgot(int proxy, boolean keepsMarks) {
         told.keySet().removeIf(pair -> pair >>> 32 == proxy);
+        if (!keepsMarks) {
+            marked.keySet().removeIf(pair -> pair >>> 32 == proxy);
+        }
+    }
+
+    /** A proxy said yes to taking a node out, or was asked to use it again. */
+    public synchronized void marked(int proxy, String node, boolean out, long now) {
+        for (Plan.Node one : plan.nodes()) {
+            if (one.name().equals(node) && out) {
+                marked.putIfAbsent(pair(proxy, one.index()), now);
+            } else if (one.name().equals(node)) {
+                marked.remove(pair(proxy, one.index()));
+            }
+        }
     }
 
     /** A cold node fell over under this work. */
--- a/lab/src/main/java/dockrelay/lab/report/Result.java
+++ b/lab/src/main/java/dockrelay/lab/report/Result.java
@@ -43,7 +43,8 @@
     }
 
     public Result(Plan plan, String build, Score score, Referee referee, List<Proxies.Figures> proxies,
-                  List<Sample> samples, Own own, long fallen, long discoveryLines) {
+                  List<Sample> samples, Own own, long fallen, long discoveryLines,
+                  long[] peerTraffic) {
         this.plan = plan;
         this.score = score;
         this.samples = List.copyOf(samples);
@@ -97,6 +98,7 @@
                 "peak_descriptors", one.peakDescriptors(), "cpu_s", round(one.cpuSeconds())));
         }
         values.put("proxies", processes);
+        values.put("peers", map("datagrams", peerTraffic[0], "bytes", peerTraffic[1]));
         values.put("nodes", map("count", plan.nodes().size(), "fell_over", fallen, "mean_held",
             round(samples.stream().mapToDouble(Sample::mean).average().orElse(0)), "most_held",
             samples.stream().mapToInt(Sample::most).max().orElse(0), "discovery_lines", discoveryLines));
--- a/lab/src/main/java/dockrelay/lab/world/Net.java
+++ b/lab/src/main/java/dockrelay/lab/world/Net.java
@@ -1,5 +1,8 @@
 package dockrelay.lab.world;
 
+import dockrelay.lab.link.LinkHandler;
+import dockrelay.lab.link.Links;
+import dockrelay.lab.plan.Seeds;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -19,18 +22,26 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 
 /** The world's sockets and loops. */
 public final class Net {
+    /** The name of all clients together, as a party of the network. */
+    static final String CLIENTS = "clients";
     private static final int BACKLOG = 1024;
 
+    private final long seed;
+    private final Links links = new Links();
+    private final AtomicLong connections = new AtomicLong();
+
     private final EventLoopGroup world = group("world"), clients = group("clients");
 
     private final ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(1,
         new DefaultThreadFactory("timers", true));
 
-    public Net() {
+    public Net(long seed) {
+        this.seed = seed;
         timers.setRemoveOnCancelPolicy(true);
         // At the end the loops still run for a moment: what they put off then is not to be done any more.
         timers.setRejectedExecutionHandler(new ThreadPoolExecutor.DiscardPolicy());
@@ -49,6 +60,18 @@
         return timers.schedule(() -> loop.execute(action), Math.max(0, micros), TimeUnit.MICROSECONDS);
     }
 
+    public Links links() {
+        return links;
+    }
+
+    /** The network between a party of the world's and another, for one connection. */
+    LinkHandler link(String here, String there, Clock clock) {
+        EventLoop loop = here.equals(CLIENTS) ? clients() : world();
+        return new LinkHandler(links, here, there, clock::now,
+            (micros, action) -> later(loop, micros, action),
+            Seeds.stream(seed, here + " and " + there + " " + connections.incrementAndGet()));
+    }
+
     /** Nodes and discovery. */
     public EventLoop world() {
         return world.next();
