Lab: hard cases of its own: a full disk, a machine that is too small, pinned proxies

Need: what the lab does when it itself is in trouble was not tried.

Change: the summary is printed before anything is written, files are moved into place whole, and what cannot be written is named. A void run says that what follows tells nothing. No client tries with less than 1 ms left. System calls are loaded before the first process. proxies.pinned puts each proxy on one processor by turns, beside the lab's own.

--- a/lab/src/main/java/dockrelay/lab/LabRun.java
+++ b/lab/src/main/java/dockrelay/lab/LabRun.java
@@ -106,7 +106,6 @@
                 samples, new Result.Own(lateness, loop, voidBecause(lateness, loop), left), world.fell(),
                 world.linesSent(), proxies.peerTraffic());
             Runtime.getRuntime().removeShutdownHook(killer);
-            result.write(out);
             return result;
         } finally {
             net.close();
--- a/lab/src/main/java/dockrelay/lab/Main.java
+++ b/lab/src/main/java/dockrelay/lab/Main.java
@@ -76,7 +76,8 @@
             Progress progress = new Progress();
             Result result = new LabRun(plan, build, out, progress::say).play();
             progress.end();
-            System.out.print(result.summary());
+            System.out.print(result.summary()); // first: a full disk must not lose it
+            result.write(out);
             System.out.println("report: " + out.resolve("report.html"));
             return result.kept() && !result.isVoid() ? 0 : 1;
         }
--- a/lab/src/main/java/dockrelay/lab/Series.java
+++ b/lab/src/main/java/dockrelay/lab/Series.java
@@ -10,6 +10,7 @@
 import dockrelay.lab.report.TablePage;
 import dockrelay.lab.spec.ExperimentReader;
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -56,6 +57,7 @@
             if (!result.isVoid()) {
                 progress.end();
                 System.out.print(side.name + ": " + result.summary());
+                result.write(out.resolve(place));
                 kept &= result.kept();
                 return result;
             }
@@ -170,6 +172,6 @@
 
     private void write(String name, TablePage page, Map<String, Object> values) throws IOException {
         page.write(out.resolve(name + ".html"));
-        JSON.writeValue(out.resolve(name + ".json").toFile(), values);
+        Files.writeString(out.resolve(name + ".json"), JSON.writeValueAsString(values));
     }
 }
--- a/lab/src/main/java/dockrelay/lab/process/Native.java
+++ b/lab/src/main/java/dockrelay/lab/process/Native.java
@@ -16,6 +16,8 @@
 
         int kill(int process, int signal);
 
+        int sched_setaffinity(int process, long size, byte[] mask);
+
         int prlimit(int process, int resource, Limit limit, Limit before);
 
         int socket(int domain, int type, int protocol);
@@ -42,11 +44,16 @@
     private static final Map<String, Integer> SIGNALS = Map.of("HUP", 1, "CONT", 18, "STOP", 19);
     private static final int INET = 2, STREAM = 1, CLOSE_ON_EXEC = 0x80000, SOCKET = 1, REUSE = 2, FILE_SIZE =
         1;
-    private static final int BACKLOG = 1024;
+    private static final int BACKLOG = 1024, MASK = 128;
 
     private Native() {
     }
 
+    /** Fails before anything is started where this system has no such calls. */
+    static void load() {
+        C.LIBRARY.getClass();
+    }
+
     static void signal(long process, String name) {
         C.LIBRARY.kill((int) process, SIGNALS.get(name));
     }
@@ -59,6 +66,13 @@
         check(C.LIBRARY.prlimit((int) process, FILE_SIZE, limit, null), "prlimit");
     }
 
+    /** It runs on this processor alone, with all threads that it starts from now on. */
+    static void pin(long process, int processor) throws IOException {
+        byte[] mask = new byte[MASK];
+        mask[processor / Byte.SIZE] = (byte) (1 << processor % Byte.SIZE);
+        check(C.LIBRARY.sched_setaffinity((int) process, mask.length, mask), "sched_setaffinity");
+    }
+
     /** A descriptor of a socket that listens at this address. */
     static int listening(InetSocketAddress at) throws IOException {
         int socket = check(C.LIBRARY.socket(INET, STREAM | CLOSE_ON_EXEC, 0), "socket");
--- a/lab/src/main/java/dockrelay/lab/process/Proxies.java
+++ b/lab/src/main/java/dockrelay/lab/process/Proxies.java
@@ -25,6 +25,8 @@
 
 /** The processes under test: their starts and ends, what befalls them, and what the system says of them. */
 public final class Proxies implements AutoCloseable {
+    /** The world's loop, the clients' and some for all else. */
+    private static final int OWN_PROCESSORS = 3;
     private static final long LOOK_MILLIS = 250, ASK_MILLIS = 50;
     /** The next process of an upgrade has to say yes within this. */
     private static final long YES_WITHIN = 6_000_000;
@@ -61,7 +63,7 @@
         for (int i = 0; i < count; i++) {
             all.add(new ProxyProcess(i, build, folder, Addresses.proxy(i),
                 plan.experiment().proxies().sharedSocket(), plan.experiment().proxies().fileLimit(),
-                leftovers));
+                plan.experiment().proxies().pinned() ? processor(i) : -1, leftovers));
         }
         peers = plan.experiment().permissions().peers() ? new PeerNetwork(count, plan.seed(), net, clock)
             : null;
@@ -70,11 +72,18 @@
         reported = new boolean[count];
     }
 
+    /** By turns over those that are left when the lab has its own. */
+    private static int processor(int proxy) {
+        int all = Runtime.getRuntime().availableProcessors(), own = Math.min(OWN_PROCESSORS, all - 1);
+        return own + proxy % (all - own);
+    }
+
     public InetSocketAddress[] addresses() {
         return all.stream().map(ProxyProcess::listen).toArray(InetSocketAddress[]::new);
     }
 
     public void start() throws IOException {
+        Native.load();
         for (ProxyProcess proxy : all) {
             start(proxy, false);
         }
--- a/lab/src/main/java/dockrelay/lab/process/ProxyProcess.java
+++ b/lab/src/main/java/dockrelay/lab/process/ProxyProcess.java
@@ -45,22 +45,26 @@
     private final InetSocketAddress listen;
     private final Leftovers leftovers;
     private final long fileLimit;
-    private final int socket;
+    private final int socket, processor;
     private final Map<Long, Long> ticks = new HashMap<>();
     private InetSocketAddress console;
     private One now, before;
     private Path tmp;
     private int starts;
 
-    /** With a shared socket the lab listens for clients, and each process inherits that. */
+    /**
+     * With a shared socket the lab listens for clients, and each process inherits that. A processor below 0
+     * leaves it to the system where it runs.
+     */
     public ProxyProcess(int index, Build build, Path folder, InetSocketAddress listen, boolean sharedSocket,
-                        long fileLimit, Leftovers leftovers) throws IOException {
+                        long fileLimit, int processor, Leftovers leftovers) throws IOException {
         this.index = index;
         this.build = build;
         this.folder = folder;
         this.listen = listen;
         this.leftovers = leftovers;
         this.fileLimit = fileLimit;
+        this.processor = processor;
         this.socket = sharedSocket ? Native.listening(listen) : NO_SOCKET;
     }
 
@@ -111,6 +115,9 @@
             now = new One(Native.start(builder, socket));
         }
         leftovers.started(now.process.toHandle());
+        if (processor >= 0) {
+            Native.pin(now.process.pid(), processor);
+        }
         if (fileLimit > 0) {
             Native.limitFiles(now.process.pid(), fileLimit);
         }
--- a/lab/src/main/java/dockrelay/lab/report/Result.java
+++ b/lab/src/main/java/dockrelay/lab/report/Result.java
@@ -14,6 +14,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -154,9 +155,21 @@
     }
 
     public void write(Path folder) throws IOException {
-        JSON.writeValue(folder.resolve("result.json").toFile(), values);
-        Files.writeString(folder.resolve("series.csv"), series());
-        Files.writeString(folder.resolve("report.html"), HtmlReport.of(this));
+        write(folder.resolve("result.json"), JSON.writeValueAsString(values));
+        write(folder.resolve("series.csv"), series());
+        write(folder.resolve("report.html"), HtmlReport.of(this));
+    }
+
+    /** Beside, then moved into place: what is there is whole. */
+    static void write(Path file, String text) throws IOException {
+        Path beside = file.resolveSibling(file.getFileName() + ".part");
+        try {
+            Files.writeString(beside, text);
+            Files.move(beside, file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+        } catch (IOException e) {
+            Files.deleteIfExists(beside);
+            throw new IOException(file + " could not be written: " + e.getMessage(), e);
+        }
     }
 
     /** A row a second, by when requests were meant to leave. */
@@ -249,7 +262,8 @@
             whole.count(End.UNREACHABLE), Units.time(whole.latency.getValueAtPercentile(50)),
             Units.time(whole.latency.getValueAtPercentile(99))));
         if (isVoid) {
-            text.append("VOID: ").append(values.get("void_because")).append('\n');
+            text.append("VOID: ").append(values.get("void_because"))
+                .append("; this machine could not carry it in real time, and what follows tells nothing\n");
         }
         if (kept()) {
             return text.append("every rule kept\n").toString();
--- a/lab/src/main/java/dockrelay/lab/report/TablePage.java
+++ b/lab/src/main/java/dockrelay/lab/report/TablePage.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -40,7 +39,7 @@
     }
 
     public void write(Path file) throws IOException {
-        Files.writeString(file, HtmlReport.page("table.html",
+        Result.write(file, HtmlReport.page("table.html",
             Map.of("title", title, "text", text, "head", head, "rows", rows, "charts", charts)));
     }
 
--- a/lab/src/main/java/dockrelay/lab/spec/Experiment.java
+++ b/lab/src/main/java/dockrelay/lab/spec/Experiment.java
@@ -47,7 +47,7 @@
 
     /** The processes under test. */
     public record Proxies(int count, long memory, int descriptors, double cores, long startWithin,
-                          boolean sharedSocket, long fileLimit) {
+                          boolean sharedSocket, long fileLimit, boolean pinned) {
     }
 
     /** The emulated fleet. */
--- a/lab/src/main/java/dockrelay/lab/spec/ExperimentReader.java
+++ b/lab/src/main/java/dockrelay/lab/spec/ExperimentReader.java
@@ -76,7 +76,8 @@
             s.bytes("memory", 192 << 20, 64 << 20, 1L << 33),
             s.count("descriptors", 1024, 64, 100_000), s.number("cores", 1, 0.05, 1),
             s.time("start_within", 30 * SECOND, SECOND, HOUR), s.flag("shared_socket", false),
-            s.bytes("file_limit", 0, 0, 1L << 40));
+            s.bytes("file_limit", 0, 0, 1L << 40),
+            s.flag("pinned", false));
         s.done();
         return result;
     }
--- a/lab/src/main/java/dockrelay/lab/world/Clients.java
+++ b/lab/src/main/java/dockrelay/lab/world/Clients.java
@@ -33,6 +33,8 @@
 public final class Clients {
     /** Every time limit is longer by this on sockets. */
     private static final long SOCKETS = 50_000;
+    /** A client that has less time than this left does not try again. */
+    private static final long LEAST = 1_000;
 
     private final Plan plan;
     private final Experiment experiment;
@@ -114,6 +116,10 @@
             long now = clock.now();
             long left = intended + type.deadline() - now;
             long timeout = Math.min(left, Math.round(type.deadline() * arrival.tryShare()));
+            if (timeout < LEAST) {
+                finish(End.FAILED, now - intended); // a wait ran out the time while it was late itself
+                return;
+            }
             if (connection == null) {
                 tries++;
                 again(End.UNREACHABLE, true, 0);
