Lab: traces, tenants and routing keys; discovery that moves, and that some see late

Change: arrivals from a recorded trace whose gaps the seed draws, tenants with shares and quotas (settings, header, result by tenant), keys by Zipf's law, a view of the list for each proxy that may lag, and fault move: new addresses, new files, SIGHUP. Requests are drawn in a class of their own.

--- a/lab/src/main/java/dockrelay/lab/plan/Plan.java
+++ b/lab/src/main/java/dockrelay/lab/plan/Plan.java
@@ -9,7 +9,6 @@
 import dockrelay.lab.spec.Experiment.Kind;
 import dockrelay.lab.spec.Experiment.Link;
 import dockrelay.lab.spec.Experiment.ServiceClass;
-import dockrelay.lab.spec.Experiment.Spread;
 import dockrelay.lab.spec.SpecException;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
@@ -53,9 +52,13 @@
         }
     }
 
-    /** A client's request; a client that retries does so at most so often. */
+    /**
+     * A client's request; it is tried again at most so often. Tenant and route (its routing key) may be
+     * empty.
+     */
     public record Arrival(int index, long at, int serviceClass, double work, double tryShare, int retries,
-        String key, long salt) {
+        String key, String tenant,
+                          String route, long salt) {
     }
 
     /** A fault with its victims drawn. */
@@ -134,43 +137,36 @@
 
     private static List<Arrival> arrivals(Experiment experiment, long seed, double rate, double[] means,
         double[] cvs) {
+        Requests requests = new Requests(experiment, seed, means, cvs);
         List<Arrival> result = new ArrayList<>();
-        if (rate <= 0) {
+        Clients clients = experiment.clients();
+        if (clients.arrivals() == Experiment.Arrivals.TRACE) {
+            for (Experiment.Traced one : clients.trace()) {
+                if (one.at() < experiment.length()) {
+                    result.add(requests.next(result.size(), one));
+                }
+            }
             return result;
         }
         RandomGenerator times = Seeds.stream(seed, "arrivals");
-        RandomGenerator draws = Seeds.stream(seed, "requests");
-        Clients clients = experiment.clients();
         double swing = clients.swing().draw(times);
         double highest = rate * peak(clients, swing);
-        double shares = experiment.classes().stream().mapToDouble(ServiceClass::share).sum();
-        double retriesMean = clients.retries().draw(draws);
         double at = 0;
-        while (true) {
+        while (rate > 0) {
             at += times.nextExponential() / highest; // thinned below to the rate of the moment
             if (at >= experiment.length()) {
-                return result;
-            }
-            if (times.nextDouble() * highest > rate * shape(experiment, swing, (long) at)) {
-                continue;
+                break;
             }
-            double pick = draws.nextDouble() * shares;
-            int index = 0;
-            while (index < means.length - 1 && pick >= experiment.classes().get(index).share()) {
-                pick -= experiment.classes().get(index++).share();
+            if (times.nextDouble() * highest <= rate * shape(experiment, swing, (long) at)) {
+                result.add(requests.next(result.size(), new Experiment.Traced((long) at, "", -1, "", "")));
             }
-            int retries = (int) Math.floor(retriesMean + draws.nextDouble());
-            result.add(new Arrival(result.size(), (long) at, index,
-                work(experiment.classes().get(index).spread(), means[index], cvs[index], draws),
-                clients.tryShare().draw(draws), retries,
-                HexFormat.of().toHexDigits(draws.nextLong()) + HexFormat.of().toHexDigits(draws.nextLong()),
-                draws.nextLong()));
         }
+        return result;
     }
 
     private static double peak(Clients clients, double swing) {
         return switch (clients.arrivals()) {
-            case POISSON -> 1;
+            case POISSON, TRACE -> 1;
             case BURSTY -> BURST_RATE;
             case SWING -> 1 + swing;
             case STEPS -> clients.steps().stream().mapToDouble(Double::doubleValue).max().orElse(1);
@@ -182,7 +178,7 @@
         Clients clients = experiment.clients();
         double phase = (double) at / clients.swingPeriod();
         return switch (clients.arrivals()) {
-            case POISSON -> 1;
+            case POISSON, TRACE -> 1;
             case BURSTY -> phase % 1 < BURST_SHARE ? BURST_RATE
                 : (1 - BURST_SHARE * BURST_RATE) / (1 - BURST_SHARE);
             case SWING -> 1 + swing * Math.sin(2 * Math.PI * phase);
@@ -191,18 +187,6 @@
         };
     }
 
-    private static double work(Spread spread, double mean, double cv, RandomGenerator random) {
-        double work = switch (spread) {
-            case EXP -> mean * random.nextExponential();
-            case FIXED -> mean;
-            case LOGNORMAL -> {
-                double variance = Math.log1p(cv * cv);
-                yield mean * Math.exp(random.nextGaussian() * Math.sqrt(variance) - variance / 2);
-            }
-        };
-        return Math.max(1, work);
-    }
-
     private static List<Break> breaks(Experiment experiment, long seed, List<Node> nodes) {
         List<Break> result = new ArrayList<>();
         int number = 0;
--- a/lab/src/main/java/dockrelay/lab/process/Configuration.java
+++ b/lab/src/main/java/dockrelay/lab/process/Configuration.java
@@ -80,7 +80,10 @@
             services.add(service(c));
         }
         s.put("Services", services);
-        s.put("Tenants", List.of());
+        double shares = e.tenants().stream().mapToDouble(Experiment.Tenant::share).sum();
+        s.put("Tenants", e.tenants().stream()
+            .map(tenant -> Map.of("Name", tenant.name(), "QuotaRps", tenant.quota(),
+            "Share", tenant.share() / shares)).toList());
         s.put("Tick", 0.005);
         s.put("Tier", 0);
         s.put("Tiers", List.of("nodes"));
--- a/lab/src/main/java/dockrelay/lab/process/Proxies.java
+++ b/lab/src/main/java/dockrelay/lab/process/Proxies.java
@@ -88,22 +88,19 @@
             start(proxy, false);
         }
         world.operator((node, out) -> operators.execute(() -> mark(node, out)));
+        world.moved(() -> operators.execute(this::moveDiscovery));
         thread.scheduleWithFixedDelay(this::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void start(ProxyProcess proxy, boolean keepFolder) throws IOException {
-        Experiment experiment = plan.experiment();
         int i = proxy.index();
-        InetSocketAddress at = Addresses.console(i);
-        String listen = Addresses.text(proxy.listen()), console = Addresses.text(at);
         if (!proxy.alive()) {
             referee.forgot(i, keepFolder);
         }
-        long seed = Seeds.number(plan.seed(), proxy.name() + " start " + proxy.starts());
-        proxy.start(Configuration.of(experiment, proxy, listen, console, world.discovery(i), seed,
-            world.known(i), peers == null ? null : peers.listen(i), peers == null ? null : peers.seenBy(i)),
-            Map.of("PROXY_LISTEN", listen, "PROXY_CONSOLE", console, "PROXY_DISCOVERY", world.discovery(i)),
-            at, keepFolder);
+        proxy.prepare(Addresses.console(i));
+        proxy.start(configuration(proxy, true),
+            Map.of("PROXY_LISTEN", Addresses.text(proxy.listen()), "PROXY_CONSOLE",
+            Addresses.text(proxy.console()), "PROXY_DISCOVERY", world.discovery(i)), keepFolder);
         reported[i] = false;
     }
 
@@ -119,6 +116,28 @@
         });
     }
 
+    /** Discovery is at other addresses from now on: each proxy's file says so, and SIGHUP has it read. */
+    private void moveDiscovery() {
+        world.moveDiscovery();
+        for (ProxyProcess proxy : all) {
+            try {
+                proxy.configure(configuration(proxy, false));
+                proxy.signal("HUP");
+            } catch (IOException e) {
+                referee.process(Rule.CRASH, proxy.index(), clock.now(), "could not be told of discovery: "
+                    + e);
+            }
+        }
+    }
+
+    private String configuration(ProxyProcess proxy, boolean starts) {
+        int i = proxy.index();
+        return Configuration.of(plan.experiment(), proxy, Addresses.text(proxy.listen()),
+            Addresses.text(proxy.console()), world.discovery(i),
+            Seeds.number(plan.seed(), proxy.name() + " start " + proxy.starts()), world.known(i, starts),
+            peers == null ? null : peers.listen(i), peers == null ? null : peers.seenBy(i));
+    }
+
     /** Starts the next process beside the one there is; at its yes the old one is told to end. */
     private void upgrade(ProxyProcess proxy) throws IOException {
         start(proxy, true);
--- a/lab/src/main/java/dockrelay/lab/process/ProxyProcess.java
+++ b/lab/src/main/java/dockrelay/lab/process/ProxyProcess.java
@@ -49,7 +49,7 @@
     private final Map<Long, Long> ticks = new HashMap<>();
     private InetSocketAddress console;
     private One now, before;
-    private Path tmp;
+    private Path tmp, config;
     private int starts;
 
     /**
@@ -84,23 +84,27 @@
         return console;
     }
 
+    /** The console's address of the process to be started next. */
+    public synchronized void prepare(InetSocketAddress itsConsole) {
+        console = itsConsole;
+    }
+
     /** What outlives a process, where it is kept. */
     public synchronized Path tmp() {
         return tmp;
     }
 
     /** Starts it as the platform does, with this configuration; one that still runs goes on beside it. */
-    public synchronized void start(String configuration, Map<String, String> environment,
-                                   InetSocketAddress itsConsole, boolean keepFolder) throws IOException {
+    public synchronized void start(String configuration, Map<String, String> environment, boolean keepFolder)
+        throws IOException {
         starts++;
         before = now != null && now.alive() ? now : null;
-        console = itsConsole;
         Path home = Files.createDirectories(folder.resolve(name() + "." + starts));
         if (tmp == null || !keepFolder) {
             tmp = Files.createDirectories(home.resolve("tmp"));
         }
-        Path config = home.resolve("config.json");
-        Files.writeString(config, configuration);
+        config = home.resolve("config.json");
+        configure(configuration);
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", build.run())
             .directory(build.root().toFile())
             .redirectErrorStream(true).redirectOutput(home.resolve("log").toFile());
@@ -123,6 +127,11 @@
         }
     }
 
+    /** Writes its configuration anew; it reads it at a start and at SIGHUP. */
+    public synchronized void configure(String configuration) throws IOException {
+        Files.writeString(config, configuration);
+    }
+
     public synchronized int starts() {
         return starts;
     }
--- a/lab/src/main/java/dockrelay/lab/report/Result.java
+++ b/lab/src/main/java/dockrelay/lab/report/Result.java
@@ -82,6 +82,11 @@
             classes.put(experiment.classes().get(i).name(), part(score.ofClass(i)));
         }
         values.put("classes", classes);
+        Map<String, Object> tenants = new LinkedHashMap<>();
+        if (!experiment.tenants().isEmpty()) {
+            score.tenants().forEach((name, of) -> tenants.put(name, part(of)));
+        }
+        values.put("tenants", tenants);
         double first = Math.max(1, totals.firstTries());
         values.put("attempts", map("per_request", round(totals.attempts() / first), "turned_away",
             totals.turnedAway(), "new_connections_per_request", round(totals.connections() / first),
--- a/lab/src/main/java/dockrelay/lab/report/Score.java
+++ b/lab/src/main/java/dockrelay/lab/report/Score.java
@@ -5,6 +5,7 @@
 import dockrelay.lab.spec.Experiment.ServiceClass;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -53,6 +54,7 @@
     private final Part whole = new Part();
     private final Part[] classes;
     private final Part[] seconds;
+    private final Map<String, Part> tenants = new TreeMap<>();
 
     public Score(Plan plan) {
         this.plan = plan;
@@ -75,7 +77,8 @@
         double share = how == End.IN_TIME ? 1 : how == End.LATE ? type.lateWorth() : 0;
         boolean late = share == 0 && latency > type.aim();
         Part second = seconds[(int) (arrival.at() / SECOND)];
-        for (Part part : new Part[] {second, classes[arrival.serviceClass()]}) {
+        Part tenant = tenants.computeIfAbsent(arrival.tenant(), none -> new Part());
+        for (Part part : new Part[] {second, classes[arrival.serviceClass()], tenant}) {
             part.add(worth, share, late, how, latency, tries);
         }
         if (arrival.at() >= plan.experiment().settle()) {
@@ -91,6 +94,11 @@
         return classes[index];
     }
 
+    /** By name; one without a name is all that has none. */
+    public synchronized Map<String, Part> tenants() {
+        return new TreeMap<>(tenants);
+    }
+
     public synchronized Part[] seconds() {
         return seconds.clone();
     }
--- a/lab/src/main/java/dockrelay/lab/spec/Experiment.java
+++ b/lab/src/main/java/dockrelay/lab/spec/Experiment.java
@@ -5,11 +5,12 @@
 
 /** What an experiment file says, checked and with its defaults. Times are in microseconds. */
 public record Experiment(String name, String shows, long length, long settle, Proxies proxies, Nodes nodes,
-                         Clients clients, List<ServiceClass> classes, Discovery discovery, Rules rules,
+                         Clients clients, List<Tenant> tenants, List<ServiceClass> classes,
+                         Discovery discovery, Rules rules,
                          Permissions permissions, List<Fault> faults) {
 
     /** How arrivals are spread over time. */
-    public enum Arrivals { POISSON, BURSTY, SWING, STEPS }
+    public enum Arrivals { POISSON, BURSTY, SWING, STEPS, TRACE }
 
     /** How work is drawn. */
     public enum Spread { EXP, LOGNORMAL, FIXED }
@@ -26,7 +27,8 @@
     /** What can break. */
     public enum FaultKind {
         CRASH(true), SLOW(true), FAST_ERRORS(true), NEIGHBOUR(true), DRAIN(true), DETACH(true), KILL(false),
-        TERM(false), PAUSE(false), HANGUP(false), UPGRADE(false), OUTAGE(null), LINK(null);
+        TERM(false), PAUSE(false), HANGUP(false), UPGRADE(false), OUTAGE(null),
+        MOVE(null), LINK(null);
 
         private final Boolean nodes;
 
@@ -75,10 +77,18 @@
     public record Probes(Range work, Range period, Range noise) {
     }
 
+    /** A tenant: its part of the requests, and the rate that all proxies together owe it in full. */
+    public record Tenant(String name, double share, double quota) {
+    }
+
+    /** One request of a recorded trace; an empty class, tenant or key is drawn, and work below 0 too. */
+    public record Traced(long at, String serviceClass, double work, String tenant, String key) {
+    }
+
     /** The load and how clients act. */
     public record Clients(double load, double rate, Arrivals arrivals, Range swing, long swingPeriod,
                           List<Double> steps, Range retries, Range tryShare, Range backoff, double honour,
-                          long maxRetryAfter, Range notice) {
+                          long maxRetryAfter, Range notice, int keys, double keySkew, List<Traced> trace) {
     }
 
     /** A class of requests. */
@@ -90,7 +100,8 @@
 
     /** How late and how busy discovery is. */
     public record Discovery(Range noticeDeath, Range noticeStart, Range callCost, Range lineCost,
-        long timeout) {
+        long timeout,
+                            Range lag) {
     }
 
     /** The figures of the rules. */
--- a/lab/src/main/java/dockrelay/lab/spec/ExperimentReader.java
+++ b/lab/src/main/java/dockrelay/lab/spec/ExperimentReader.java
@@ -21,6 +21,8 @@
 import dockrelay.lab.spec.Experiment.Scope;
 import dockrelay.lab.spec.Experiment.ServiceClass;
 import dockrelay.lab.spec.Experiment.Spread;
+import dockrelay.lab.spec.Experiment.Tenant;
+import dockrelay.lab.spec.Experiment.Traced;
 import dockrelay.lab.spec.Experiment.WarmBy;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -64,7 +66,8 @@
         Experiment result = new Experiment(name, top.text("shows", null),
             top.time("length", 20 * SECOND, SECOND, HOUR),
             top.time("settle", 0, 0, HOUR), proxies, nodes(top.child("nodes")),
-            clients(top.child("clients")), classes(top.each("class")), discovery(top.child("discovery")),
+            clients(top.child("clients"), file), tenants(top.each("tenant")), classes(top.each("class")),
+            discovery(top.child("discovery")),
             rules(top.child("rules")), permissions(top.child("permissions")),
             faults(top.each("fault"), proxies.sharedSocket()));
         top.done();
@@ -138,21 +141,61 @@
         return Section.of(Path.of("defaults"), "", Overrides.NONE);
     }
 
-    private static Clients clients(Section s) {
+    private static List<Tenant> tenants(List<Section> given) {
+        List<Tenant> result = new ArrayList<>();
+        for (Section s : given) {
+            result.add(new Tenant(s.text("name", null), s.number("share", 1, 0, 1),
+                s.number("quota", 0, 0, MANY)));
+            s.done();
+        }
+        return result;
+    }
+
+    /**
+     * A row a request: seconds, then class, work in ms, tenant and key, each of which may be empty or absent.
+     */
+    private static List<Traced> trace(Section s, Path file) {
+        List<Traced> result = new ArrayList<>();
+        Path trace = file.resolveSibling(s.text("trace", null));
+        try {
+            long before = 0;
+            for (String line : Files.readAllLines(trace)) {
+                if (line.isBlank() || line.startsWith("#")) {
+                    continue;
+                }
+                String[] cells = (line + ",,,,").split(",", -1);
+                long at = Math.round(Double.parseDouble(cells[0].trim()) * SECOND);
+                if (at < before) {
+                    throw new SpecException(trace + ": " + line + ": the times go back");
+                }
+                before = at;
+                result.add(new Traced(at, cells[1].trim(), cells[2].isBlank() ? -1
+                    : Double.parseDouble(cells[2].trim()) * MILLI, cells[3].trim(), cells[4].trim()));
+            }
+        } catch (IOException | NumberFormatException e) {
+            throw s.wrong("trace", "a file beside this one with rows of seconds,class,work in ms,tenant,key; "
+                + e);
+        }
+        return result;
+    }
+
+    private static Clients clients(Section s, Path file) {
         List<Double> steps = new ArrayList<>();
         for (Section step : s.each("step")) {
             steps.add(step.number("load", 1, 0, 10));
             step.done();
         }
-        Clients result = new Clients(s.number("load", 0.6, 0, 10), s.number("rate", 0, 0, MANY),
-            s.choice("arrivals", Arrivals.POISSON, Arrivals.class),
+        Arrivals arrivals = s.choice("arrivals", Arrivals.POISSON, Arrivals.class);
+        Clients result = new Clients(s.number("load", 0.6, 0, 10), s.number("rate", 0, 0, MANY), arrivals,
             s.range("swing", new Range(0.16, 0.37), 0, 1),
             s.time("swing_period", 10 * SECOND, 100 * MILLI, HOUR), steps,
             s.range("retries", new Range(0, 1), 0, 10),
             s.range("try_share", new Range(0.7, 1), 0.05, 1),
             s.times("backoff", new Range(12 * MILLI, 100 * MILLI), 0, HOUR), s.number("honour", 0.9, 0, 1),
             s.time("max_retry_after", 2 * SECOND, 0, HOUR),
-            s.times("notice", new Range(1.3 * SECOND, 3 * SECOND), 0, HOUR));
+            s.times("notice", new Range(1.3 * SECOND, 3 * SECOND), 0, HOUR),
+            s.count("keys", 0, 0, 10_000_000), s.number("key_skew", 1, 0, 10),
+            arrivals == Arrivals.TRACE ? trace(s, file) : List.of());
         if (result.arrivals() == Arrivals.STEPS && steps.isEmpty()) {
             throw s.wrong("arrivals", "steps only with [[clients.step]]");
         }
@@ -201,7 +244,7 @@
             s.times("notice_start", new Range(0.22 * SECOND, 2.5 * SECOND), 0, HOUR),
             s.times("call_cost", new Range(20 * MILLI, 60 * MILLI), 0, HOUR),
             s.times("line_cost", new Range(0.5 * MILLI, 2 * MILLI), 0, HOUR),
-            s.time("timeout", SECOND, MILLI, HOUR));
+            s.time("timeout", SECOND, MILLI, HOUR), s.times("lag", Range.of(0), 0, HOUR));
         s.done();
         return result;
     }
--- a/lab/src/main/java/dockrelay/lab/world/Clients.java
+++ b/lab/src/main/java/dockrelay/lab/world/Clients.java
@@ -128,7 +128,8 @@
             boolean safe = type.effect() == Effect.IDEMPOTENT;
             String id = HexFormat.of().toHexDigits(Seeds.number(arrival.salt(), "try " + tries));
             String content = safe ? "" : "order " + id + " for " + type.name() + "\n";
-            Try one = new Try(id, safe ? "GET" : "POST", "/" + type.name() + "/" + arrival.index(),
+            Try one = new Try(id, safe ? "GET" : "POST", "/" + type.name() + "/"
+                + (arrival.route().isEmpty() ? arrival.index() : arrival.route()),
                 safe ? null : arrival.key(), content, arrival, connection.proxy(), now, timeout);
             referee.sent(one, tries == 0);
             tries++;
@@ -144,6 +145,9 @@
             message.headers().set(HttpHeaderNames.HOST, "app.svc").set("X-Request-ID", one.id)
                 .set("X-Priority-Class", type.name())
                 .set("X-Timeout", String.format(Locale.ROOT, "%.3f", one.timeout / 1e6));
+            if (!arrival.tenant().isEmpty()) {
+                message.headers().set("X-Tenant-Id", arrival.tenant());
+            }
             if (one.key != null) {
                 message.headers().set("Idempotency-Key", one.key);
                 message.headers().set(HttpHeaderNames.CONTENT_LENGTH, message.content().readableBytes());
--- a/lab/src/main/java/dockrelay/lab/world/DiscoveryService.java
+++ b/lab/src/main/java/dockrelay/lab/world/DiscoveryService.java
@@ -62,7 +62,9 @@
     private final EventLoop loop;
     private final Clock clock;
     private final Referee referee;
-    private final List<Entry> entries = new ArrayList<>();
+    /** The list as each proxy is shown it: some are shown changes later than others. */
+    private final List<List<Entry>> views = new ArrayList<>();
+    private final long[] shown, lags;
     private final List<Watch> watches = new ArrayList<>();
     private final List<Channel> open = new ArrayList<>();
     private final List<Listener> listeners = new ArrayList<>();
@@ -82,19 +84,42 @@
         this.random = Seeds.stream(seed, "discovery");
         this.callCost = spec.callCost().draw(random);
         this.lineCost = spec.lineCost().draw(random);
-        for (Node node : nodes) {
-            entries.add(new Entry(node, "active", 0, version));
-        }
+        this.shown = new long[askers];
+        this.lags = new long[askers];
         for (int i = 0; i < askers; i++) {
-            int asker = i;
-            listeners.add(new Listener(net, loop, Addresses.discovery(i), () -> new ChannelHandler[] {
-                net.link(NAME, "n" + asker, clock), new HttpServerCodec(), new HttpObjectAggregator(LONGEST),
-                new Call(asker)}));
+            List<Entry> view = new ArrayList<>();
+            for (Node node : nodes) {
+                view.add(new Entry(node, "active", 0, version));
+            }
+            views.add(view);
+            shown[i] = version;
+            lags[i] = Math.round(spec.lag().draw(random));
+            listeners.add(listener(i));
         }
         net.links().watch(() -> loop.execute(this::settle));
         loop.scheduleWithFixedDelay(this::alive, ALIVE_MILLIS, ALIVE_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private Listener listener(int asker) {
+        return new Listener(net, loop, Addresses.discovery(asker), () -> new ChannelHandler[] {
+            net.link(NAME, "n" + asker, clock), new HttpServerCodec(), new HttpObjectAggregator(LONGEST),
+            new Call(asker)});
+    }
+
+    /** Moves to new addresses; the old ones refuse from then on. Not to be called on the loop. */
+    void move() {
+        List<Listener> next = new ArrayList<>();
+        for (int i = 0; i < listeners.size(); i++) {
+            next.add(listener(i));
+        }
+        loop.submit(() -> {
+            listeners.forEach(listener -> listener.state(Listener.State.REFUSING));
+            listeners.clear();
+            listeners.addAll(next);
+            new ArrayList<>(open).forEach(Channel::close);
+        }).syncUninterruptibly();
+    }
+
     private void settle() {
         for (int i = 0; i < listeners.size(); i++) {
             listeners.get(i).state(net.links().connects("n" + i, NAME) ? Listener.State.TAKING
@@ -134,20 +159,30 @@
     }
 
     private void change(Node node, String state) {
-        version++;
-        entries.set(node.plan().index(), new Entry(node, state, node.startedMillis(), version));
-        for (Watch watch : new ArrayList<>(watches)) {
-            push(watch);
+        Entry entry = new Entry(node, state, node.startedMillis(), ++version);
+        for (int i = 0; i < lags.length; i++) {
+            int asker = i;
+            if (lags[i] <= 0) {
+                show(asker, entry);
+            } else {
+                later(lags[i], () -> show(asker, entry));
+            }
         }
     }
 
-    private void push(Watch watch) {
-        List<Entry> changed = entries.stream().filter(entry -> entry.version > watch.version).toList();
-        write(watch, changed, false);
+    private void show(int asker, Entry entry) {
+        views.get(asker).set(entry.node.plan().index(), entry);
+        shown[asker] = entry.version;
+        for (Watch watch : new ArrayList<>(watches)) {
+            if (watch.asker == asker) {
+                write(watch, views.get(asker).stream().filter(one -> one.version > watch.version).toList(),
+                    false);
+            }
+        }
     }
 
     private void write(Watch watch, List<Entry> changed, boolean full) {
-        watch.version = version;
+        watch.version = shown[watch.asker];
         watch.channel.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(
             text(changed, full, watch.asker) + "\n", StandardCharsets.UTF_8)));
         told(changed, watch.asker);
@@ -171,10 +206,16 @@
         }
     }
 
+    private List<Entry> present(int asker) {
+        return views.get(asker).stream().filter(entry -> !entry.state.equals("left")).toList();
+    }
+
     /** The whole list as of now, for a proxy's configuration. */
-    Map<String, Object> known(int asker) {
-        List<Entry> all = entries.stream().filter(entry -> !entry.state.equals("left")).toList();
-        told(all, asker);
+    Map<String, Object> known(int asker, boolean told) {
+        List<Entry> all = present(asker);
+        if (told) {
+            told(all, asker);
+        }
         return list(all, true, asker);
     }
 
@@ -193,7 +234,7 @@
             servers.add(one);
         }
         Map<String, Object> result = new LinkedHashMap<>();
-        result.put("version", version);
+        result.put("version", shown[asker]);
         result.put("full", full);
         result.put("servers", servers);
         return result;
@@ -256,7 +297,7 @@
             long after = watch && query.parameters().containsKey("after")
                 ? Long.parseLong(query.parameters().get("after").get(0)) : 0;
             long now = clock.now();
-            double cost = callCost + lineCost * entries.size();
+            double cost = callCost + lineCost * views.get(asker).size();
             if (busyUntil - now > spec.timeout()) {
                 net.later(loop, spec.timeout(), () -> fail(context, HttpResponseStatus.SERVICE_UNAVAILABLE));
                 return;
@@ -270,7 +311,7 @@
                 fail(context, HttpResponseStatus.SERVICE_UNAVAILABLE);
                 return;
             }
-            List<Entry> all = entries.stream().filter(entry -> !entry.state.equals("left")).toList();
+            List<Entry> all = present(asker);
             if (!watch) {
                 FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                     HttpResponseStatus.OK,
@@ -285,7 +326,8 @@
             context.writeAndFlush(head);
             Watch one = new Watch(context.channel(), asker, after);
             boolean full = after <= 0;
-            write(one, full ? all : entries.stream().filter(entry -> entry.version > after).toList(), full);
+            write(one, full ? all : views.get(asker).stream().filter(entry -> entry.version > after).toList(),
+                full);
             watches.add(one);
         }
 
--- a/lab/src/main/java/dockrelay/lab/world/World.java
+++ b/lab/src/main/java/dockrelay/lab/world/World.java
@@ -21,6 +21,7 @@
     private final Referee referee;
     private final int proxies;
     private BiConsumer<String, Boolean> operator = (node, out) -> { };
+    private Runnable moved = () -> { };
     private int outages;
 
     public World(Plan plan, Net net, Clock clock, Referee referee) {
@@ -53,12 +54,23 @@
         operator = calls;
     }
 
+    /** Who tells the proxies where discovery is, once it has moved. To be told before a start. */
+    public void moved(Runnable action) {
+        moved = action;
+    }
+
+    /** Takes discovery to new addresses. Not to be called on the loop. */
+    public void moveDiscovery() {
+        discovery.move();
+    }
+
     public String discovery(int asker) {
         return Addresses.text(discovery.address(asker));
     }
 
-    public Map<String, Object> known(int asker) {
-        return on(() -> discovery.known(asker));
+    /** The list for a proxy's configuration; told where it starts with it. */
+    public Map<String, Object> known(int asker, boolean told) {
+        return on(() -> discovery.known(asker, told));
     }
 
     /** What each node holds; below 0 where it is down. */
@@ -95,6 +107,7 @@
         switch (fault.kind()) {
             case OUTAGE -> discovery.outage(++outages > 0);
             case LINK -> lay(fault);
+            case MOVE -> moved.run();
             default -> { }
         }
         for (int victim : fault.victims()) {
--- a/lab/src/test/java/dockrelay/lab/spec/ExperimentReaderTest.java
+++ b/lab/src/test/java/dockrelay/lab/spec/ExperimentReaderTest.java
@@ -35,7 +35,7 @@
         assertEquals("one.toml:3: nodes.count = 0: allowed is a whole number from 1 to 1000",
             wrong("[nodes]\ncount = 0\n"));
         assertEquals("one.toml:3: fault[0].kind = \"fire\": allowed is one of crash, slow, fast_errors, "
-            + "neighbour, drain, detach, kill, term, pause, hangup, upgrade, outage, link",
+            + "neighbour, drain, detach, kill, term, pause, hangup, upgrade, outage, move, link",
             wrong("[[fault]]\nkind = \"fire\"\n"));
         assertEquals("one.toml:4: class[0].aim = [ \"2s\", \"1s\" ]: allowed is a time such as \"250ms\", "
             + "or two as [low, high], from 1ms to 3600s",
@@ -64,6 +64,21 @@
         assertNotEquals(Plan.of(experiment, 1).hash(), Plan.of(experiment, 2).hash());
     }
 
+    @Test
+    void aTraceSaysWhatComesAndTheSeedDrawsTheRest() throws IOException {
+        Files.writeString(folder.resolve("day.csv"), "# recorded\n0.5,slot-booking,70,port,k1\n1.25\n");
+        Path file = Files.writeString(folder.resolve("trace.toml"),
+            "shows = \"x\"\n[clients]\narrivals = \"trace\"\ntrace = \"day.csv\"\n");
+        List<Plan.Arrival> arrivals = Plan.of(ExperimentReader.read(file), 1).arrivals();
+        assertEquals(2, arrivals.size());
+        assertEquals(List.of(500_000L, 1, 70_000.0, "port", "k1"), List.of(arrivals.get(0).at(),
+            arrivals.get(0).serviceClass(), arrivals.get(0).work(), arrivals.get(0).tenant(),
+            arrivals.get(0).route()));
+        assertTrue(arrivals.get(1).at() == 1_250_000 && arrivals.get(1).work() > 0);
+        assertTrue(wrong("[clients]\narrivals = \"trace\"\ntrace = \"none.csv\"\n")
+            .contains("clients.trace"));
+    }
+
     @Test
     void theExperimentsThatAreKeptCanBeRead() throws IOException {
         try (Stream<Path> files = Files.list(Path.of("../experiments"))) {
