--- a/proxy/src/main/java/dockrelay/proxy/BackendPool.java
+++ b/proxy/src/main/java/dockrelay/proxy/BackendPool.java
@@ -368,10 +368,7 @@
                 return;
             }
             ended = true; // before the close: what it ends calls back
-            if (response == null && channel != null && channel.isOpen()) {
-                // Reset: what was written and has not arrived is dropped. Closed in order, the system goes on
-                // repeating it across a cut, for the backend to run long after it forgot the request.
-                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            if (response == null && channel != null) {
                 channel.close();
             }
             over(outcome, response == null ? null : report(response.headers().get(Headers.LOAD)), response);
