Ask for a silent list anew in time, and take no request before a pushed one

A watch was given up after 5 s and a connection may come up 1 s late: nothing was left for the call. A list laid out over several lines ended its watch at the first line, for ever; a process served by the list it had kept until the agent's came.

Where lists are pushed, Proxy waits for the first one before it listens (20 s at the most).

--- /dev/null
+++ b/proxy/src/main/java/dockrelay/proxy/ListWatch.java
@@ -0,0 +1,140 @@
+package dockrelay.proxy;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import dockrelay.settings.Json;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.json.JsonObjectDecoder;
+import io.netty.handler.timeout.ReadTimeoutException;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** One watch on the list: a connection, what is asked on it, and its answer taken apart into objects. */
+final class ListWatch {
+    private static final int LONGEST_OBJECT = 4 << 20;
+    private static final JsonFactory JSON = new JsonFactory();
+
+    /** Hears what a watch says, on the event loop. */
+    interface Hearer {
+        /** One object, however it is laid out. */
+        void said(ListWatch watch, Map<?, ?> update);
+
+        /** It is over, once; silent if it only ceased to speak. */
+        void over(ListWatch watch, String why, boolean silent);
+    }
+
+    private final Hearer hearer;
+    private final Channel channel;
+    private String why = "connection closed";
+    private boolean silent, over;
+
+    ListWatch(Bootstrap template, InetSocketAddress address, long version, Hearer hearer) {
+        this.hearer = hearer;
+        ChannelFuture connecting = template.clone()
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, ListClock.CONNECT)
+            .handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel made) {
+                    made.pipeline().addLast(
+                        new ReadTimeoutHandler(ListClock.SILENT, TimeUnit.MILLISECONDS),
+                        new HttpClientCodec(), new Answer(), new JsonObjectDecoder(LONGEST_OBJECT),
+                        new Objects());
+                }
+            }).connect(address);
+        channel = connecting.channel();
+        connecting.addListener(done -> {
+            if (done.isSuccess()) {
+                String path = "/v1/servers?watch=1" + (version < 0 ? "" : "&after=" + version);
+                HttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+                String host = address.getHostString() + ":" + address.getPort();
+                request.headers().set(HttpHeaderNames.HOST, host);
+                channel.writeAndFlush(request);
+            } else {
+                over(String.valueOf(done.cause().getMessage()));
+            }
+        });
+    }
+
+    /** Ends it; nothing more is heard of it. */
+    void close() {
+        over = true;
+        channel.close();
+    }
+
+    private void over(String reason) {
+        if (!over) {
+            over = true;
+            hearer.over(this, reason, silent);
+        }
+    }
+
+    /** The answer's head, and its body as bytes for the next one. */
+    private final class Answer extends SimpleChannelInboundHandler<HttpObject> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
+            if (part instanceof HttpResponse response && response.status().code() != 200) {
+                why = "answered " + response.status().code();
+                context.close();
+                return;
+            }
+            if (part instanceof HttpContent content && !over) {
+                context.fireChannelRead(content.content().retain());
+                if (part instanceof LastHttpContent) {
+                    context.close();
+                }
+            }
+        }
+    }
+
+    private final class Objects extends SimpleChannelInboundHandler<ByteBuf> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf object) throws IOException {
+            if (over) {
+                return;
+            }
+            try (InputStream bytes = new ByteBufInputStream(object);
+                 JsonParser parser = JSON.createParser(bytes)) {
+                parser.nextToken();
+                if (Json.value(parser) instanceof Map<?, ?> update) {
+                    hearer.said(ListWatch.this, update);
+                } else {
+                    throw new IOException("not an object");
+                }
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            over(why);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            silent = cause instanceof ReadTimeoutException;
+            why = silent ? "silent for " + ListClock.SILENT + " ms" : cause.toString();
+            context.close();
+        }
+    }
+}
--- a/proxy/src/main/java/dockrelay/proxy/Proxy.java
+++ b/proxy/src/main/java/dockrelay/proxy/Proxy.java
@@ -41,6 +41,11 @@
     private static final long LOOK_MILLIS = 100;
     /** After the warm-up: the next process is to serve within 6 s of its start, discovery or not. */
     private static final long LIST_MILLIS = 1_000;
+    /**
+     * Where lists are pushed, what the agent has counts from the first moment: no request is taken before it
+     * has told its list. A start that takes 30 s has failed, so in the end what was known has to do.
+     */
+    private static final long PUSHED_LIST_MILLIS = 20_000, PUSHED_LIST_UPGRADE_MILLIS = 3_000;
     /** SIGKILL follows SIGTERM after the longest deadline, of this at most, and 0.7 s: some of it is kept. */
     private static final long LONGEST_DEADLINE_MICROS = 3_000_000;
     private static final long LAST_CHANCE_MILLIS = 450;
@@ -51,7 +56,8 @@
     private static final long LONGEST_SHUTDOWN_SECONDS = 10;
 
     private static final String REHEARSAL = "{\"name\":\"rehearsal\",\"listen\":\"127.0.0.1:0\","
-        + "\"discovery\":\"127.0.0.1:1\",\"seed\":\"1\",\"settings\":{\"Services\":[{\"Name\":\"any\","
+        + "\"discovery\":\"127.0.0.1:1\",\"seed\":\"1\",\"settings\":{\"Discovery\":\"ask\","
+        + "\"Services\":[{\"Name\":\"any\","
         + "\"Aim\":1.0,\"HardLimit\":2.0,\"Idempotency\":\"idempotent\"}],\"Permissions\":{\"MaxAttempts\":3,"
         + "\"MayCancel\":true,\"SecondCopies\":true}}}";
 
@@ -123,8 +129,10 @@
         // Warm first: clients come before healthz says 200 where the front has not noticed a restart, and
         // what is taken beside the warm-up is answered too late. A refused connection loses nothing.
         WarmUp.run(config, buffers);
-        if (shared) {
-            awaitList();
+        if (!config.settings().askedDiscovery()) {
+            awaitList(shared ? PUSHED_LIST_UPGRADE_MILLIS : PUSHED_LIST_MILLIS);
+        } else if (shared) {
+            awaitList(LIST_MILLIS);
         }
         ChannelFuture listens = loop.submit(() -> clients.listen(listening, shared ? null : config.listen()))
             .syncUninterruptibly().getNow();
@@ -138,9 +146,9 @@
     }
 
     /** Guards against taking clients over with an old list while the process before has a new one. */
-    private void awaitList() {
+    private void awaitList(long millis) {
         try {
-            if (!discovery.awaitList(LIST_MILLIS)) {
+            if (!discovery.awaitList(millis)) {
                 Log.line("start", "no list of discovery's yet: what was known before has to do");
             }
         } catch (InterruptedException e) {
--- /dev/null
+++ b/proxy/src/test/java/dockrelay/proxy/ListWatchTest.java
@@ -0,0 +1,171 @@
+package dockrelay.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockrelay.proxy.Fakes.BackendFake;
+import dockrelay.proxy.Fakes.ClientFake;
+import dockrelay.proxy.Fakes.DiscoveryFake;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Watches that fall silent, stop in the middle, lag behind or are laid out otherwise: real sockets. */
+class ListWatchTest {
+    private static final String ASKED = "\"Discovery\":\"ask\",\"Obligations\":{\"AskWithin\":0.2},";
+
+    /** How a watch goes wrong once it has told the first list. */
+    private enum Fault { SILENT, HALF_DEAD, CUT_SHORT, ENDS_IN_THE_MIDDLE }
+
+    /** Each watch does what its number says; the first one goes wrong. */
+    private static final class Odd extends Fakes.Listener {
+        private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        final List<String> asked = new CopyOnWriteArrayList<>();
+        private final AtomicInteger watches = new AtomicInteger();
+        private final Fault fault;
+        private final String first, then;
+
+        Odd(Fault fault, String first, String then) {
+            this.fault = fault;
+            this.first = first;
+            this.then = then;
+        }
+
+        @Override
+        void serve(Socket connection) throws IOException {
+            String request = Fakes.read(connection.getInputStream());
+            int number = watches.getAndIncrement();
+            asked.add(request);
+            OutputStream out = connection.getOutputStream();
+            if (number == 0) {
+                out.write((HEAD + chunk(first)).getBytes(StandardCharsets.UTF_8));
+                if (fault == Fault.CUT_SHORT || fault == Fault.ENDS_IN_THE_MIDDLE) {
+                    out.write(chunk(then.substring(0, then.length() / 2)).getBytes(StandardCharsets.UTF_8));
+                }
+                if (fault == Fault.ENDS_IN_THE_MIDDLE) {
+                    return;
+                }
+            } else if (number > 1 || fault != Fault.HALF_DEAD) { // its host takes connections and no more
+                out.write((HEAD + chunk(then)).getBytes(StandardCharsets.UTF_8));
+            }
+            while (connection.getInputStream().read() >= 0) {
+                continue;
+            }
+        }
+
+        static String chunk(String text) {
+            return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+        }
+    }
+
+    private final BackendFake one = new BackendFake(request -> Fakes.answer("200 OK", "", "one"));
+    private final BackendFake two = new BackendFake(request -> Fakes.answer("200 OK", "", "two"));
+    private Proxy proxy;
+
+    @AfterEach
+    void stop() throws IOException {
+        if (proxy != null) {
+            proxy.stop();
+        }
+        one.close();
+        two.close();
+    }
+
+    private String list(int version, BackendFake of) {
+        return DiscoveryFake.list(version, true, Fakes.entry("s-" + of.port(), of.port(), "active"));
+    }
+
+    private void awaitServedBy(String body) throws IOException {
+        try (ClientFake client = new ClientFake(proxy)) {
+            Fakes.await("answers of " + body, () -> {
+                try {
+                    return client.send(ClientFake.get("4.0")).answer().endsWith(body);
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void aWatchThatGoesWrongIsAskedForAnewFromWhereItStood(Fault fault) throws Exception {
+        for (String mode : new String[] {"", ASKED}) {
+            try (Odd discovery = new Odd(fault, list(7, one), list(9, two))) {
+                proxy = new Proxy(Fakes.config(0, discovery.port(), 1024, "", mode));
+                awaitServedBy("two");
+                assertTrue(discovery.asked.get(1).startsWith("GET /v1/servers?watch=1&after=7 "),
+                    discovery.asked.get(1));
+                proxy.stop();
+                proxy = null;
+            }
+        }
+    }
+
+    @Test
+    void listsMayBeLaidOutOverSeveralLines() throws Exception {
+        String indented = list(7, one).replace(",", ",\n    ").replace("{", "{\n  ") + "\n\n"
+            + list(8, two).replace("}", "\n}").replace("\":", "\" :\t");
+        try (Odd discovery = new Odd(Fault.SILENT, indented, "")) {
+            proxy = new Proxy(Fakes.config(discovery.port(), 1024));
+            awaitServedBy("two");
+            assertEquals(1, discovery.asked.size(), "one watch is enough");
+        }
+    }
+
+    @Test
+    void anOlderVersionDoesNotTakeTheNewerOnesPlace() throws Exception {
+        try (Odd discovery = new Odd(Fault.ENDS_IN_THE_MIDDLE, list(7, one), list(6, two))) {
+            proxy = new Proxy(Fakes.config(discovery.port(), 1024));
+            Fakes.await("a second watch", () -> discovery.asked.size() > 1);
+            Fakes.await("what it says has come", () -> {
+                try (ClientFake client = new ClientFake(proxy)) {
+                    return client.send(ClientFake.get("4.0")).answer().endsWith("one");
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            assertTrue(two.requests.isEmpty(), "the older list named another backend");
+        }
+    }
+
+    /** The known list names one, the agent's another one: the first request has to go to the latter. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "\"Discovery\":\"push\","})
+    void nothingIsTakenBeforeThePushedListIsThere(String mode) throws Exception {
+        DiscoveryFake discovery = new DiscoveryFake();
+        try (discovery) {
+            discovery.refuse = true;
+            String known = Fakes.entry("s-1", one.port(), "active");
+            Config config = Fakes.config(0, discovery.port(), 1024, known, mode);
+            FutureTask<Proxy> starting = new FutureTask<>(() -> new Proxy(config));
+            new Thread(starting).start();
+            Fakes.await("some calls that failed", () -> discovery.asked.size() > 5);
+            assertFalse(starting.isDone(), "it serves by a list that it kept");
+            discovery.first(list(9, two));
+            discovery.refuse = false;
+            proxy = starting.get();
+            awaitServedBy("two");
+            assertTrue(one.requests.isEmpty());
+        }
+    }
+
+    @Test
+    void allThatLiesBetweenASilenceAndTheNewListFitsIntoTheTimeItMayTake() {
+        assertTrue(ListClock.SILENT > ListClock.HEARTBEAT, "a heartbeat that is on time is no silence");
+        assertTrue(ListClock.CONNECT > ListClock.LATE_CONNECTION, "a late connection is taken");
+        assertTrue(ListClock.BESIDE > ListClock.LATE_CONNECTION, "it has time to answer before another one");
+        assertTrue(ListClock.call() >= 500, ListClock.call() + " ms are left for the call");
+    }
+}
