Close no connection under a request that may be coming after SIGTERM

Change: one way out for both cases (Proxy.serveOut): each answer ends its connection, one at rest for 2.1 s is closed, the others when no time is left; requests that come late get the time that is left.

--- a/proxy/src/main/java/dockrelay/proxy/ClientSide.java
+++ b/proxy/src/main/java/dockrelay/proxy/ClientSide.java
@@ -159,16 +159,25 @@
         }
     }
 
-    /** Stops accepting, and closes what has no request in hand. */
+    /** Stops accepting. */
     void close() {
         listener.close();
-        closeResting();
     }
 
-    /** Closes what has no request in hand. */
+    /** Closes what has rested for so long that it may be closed: on the others a request may be coming. */
+    void closeRested() {
+        long now = System.nanoTime();
+        for (Connection connection : Set.copyOf(connections)) {
+            if (connection.rests() && now - connection.restingSince >= REST_NANOS) {
+                connection.channel.close();
+            }
+        }
+    }
+
+    /** Closes what has no request in hand or coming in. */
     void closeResting() {
         for (Connection connection : Set.copyOf(connections)) {
-            if (connection.inHand == null && !connection.ending) {
+            if (connection.rests()) {
                 connection.channel.close();
             }
         }
@@ -271,6 +280,7 @@
         @Override
         public void channelActive(ChannelHandlerContext context) {
             channel = context.channel();
+            restingSince = System.nanoTime();
             connections.add(this);
             counters.add(Count.ACCEPTED);
             makeRoom();
@@ -578,6 +588,11 @@
                 ? Math.min(asked, TimeUnit.NANOSECONDS.toMicros(lastAnswer - System.nanoTime())) : asked;
         }
 
+        /** Whether nothing of a request has been read that is not answered. */
+        private boolean rests() {
+            return inHand == null && head == null && early.isEmpty() && !ending;
+        }
+
         /** Whether no request of this one is in hand: its peer has sent none, or only a part of one. */
         private boolean isWaiting() {
             return inHand == null && !ending;
--- a/proxy/src/main/java/dockrelay/proxy/Proxy.java
+++ b/proxy/src/main/java/dockrelay/proxy/Proxy.java
@@ -285,15 +285,7 @@
             } else if (members != null) {
                 members.leave();
             }
-            if (shared) {
-                handOver();
-                return;
-            }
-            clients.lastAnswers(Long.MAX_VALUE);
-            loop.schedule(() -> {
-                clients.close();
-                table.whenEmpty(this::finish);
-            }, LAST_CONNECTIONS_MILLIS, TimeUnit.MILLISECONDS);
+            serveOut();
         });
         try {
             boolean done = finished.await(LONGEST_SHUTDOWN_SECONDS, TimeUnit.SECONDS);
@@ -304,15 +296,24 @@
     }
 
     /**
-     * Leaves new connections to the next process, and keeps those there are for as long as time allows: each
-     * ends with its next answer, and one that a request is on its way to is not closed under it.
+     * Leaves new connections to the next process where there is one, else takes them for as long as they may
+     * come, and keeps those there are for as long as time allows: each ends with its next answer, and one
+     * that a request may be on its way to is not closed under it.
      */
-    private void handOver() {
+    private void serveOut() {
         long left = TimeUnit.MICROSECONDS.toMillis(Math.min(longestDeadline, LONGEST_DEADLINE_MICROS))
             + LAST_CHANCE_MILLIS;
-        clients.leave();
         clients.lastAnswers(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(left));
-        clients.whenEmpty(() -> table.whenEmpty(this::finish));
+        if (shared) {
+            clients.leave();
+            clients.whenEmpty(() -> table.whenEmpty(this::finish));
+        } else {
+            loop.schedule(() -> {
+                clients.close();
+                clients.whenEmpty(() -> table.whenEmpty(this::finish));
+                loop.scheduleWithFixedDelay(clients::closeRested, 0, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+            }, Math.min(left, LAST_CONNECTIONS_MILLIS), TimeUnit.MILLISECONDS);
+        }
         loop.schedule(clients::closeResting, left, TimeUnit.MILLISECONDS);
     }
 
