Share budgets of further attempts and of tenants among real proxies

Copies, hedges and retries were each proxy's own, and tenants' quotas by demand could pass the whole.

Change: FleetBudgets plays the machine on the members' thread and socket; Balancer.onBudgets tells the module its parts, Allowances spends them (a policy file, named in the deploy file), Balancer.budgets says what was made of them. Configuration: budgets, retired. BUDGETS at the console.

Without budgets in the configuration nothing of it starts and the module does what it did.

--- a/decision/src/main/java/dockrelay/Balancer.java
+++ b/decision/src/main/java/dockrelay/Balancer.java
@@ -137,6 +137,21 @@
         }
     }
 
+    /**
+     * What this proxy may spend of a budget of the whole fleet: a bucket of at most {@code burst} that earns
+     * {@code rate} a second; {@code add} goes into it once.
+     */
+    record BudgetPart(String budget, double rate, double burst, double add) {
+        public BudgetPart {
+            require(budget != null, "budget name");
+            require(rate >= 0 && burst >= 0 && add >= 0, "budget part");
+        }
+    }
+
+    /** What was made of a part: asked for and spent since the start, whether one waits, what is left. */
+    record BudgetUse(String budget, long asked, long spent, boolean waits, double left) {
+    }
+
     /** One entry of the list. startedAt is 0 where the start is long past. */
     record Backend(long id, String zone, String kind, long cell, Phase phase, double weight, long startedAt) {
     }
@@ -185,6 +200,21 @@
     /** What is known of the other proxies now; without a word of it the settings' number of them holds. */
     void onFleet(long now, Fleet fleet);
 
+    /**
+     * What may be spent of the fleet's budgets, until {@code until} at the latest. A telling that was
+     * heard of
+     * before only moves its end; one that is older than the last says nothing. A budget that was never
+     * told of
+     * restricts nothing; one that was told of once does for good, also when its time is over.
+     */
+    default void onBudgets(long now, long telling, long until, List<BudgetPart> parts) {
+    }
+
+    /** What was made of the parts so far, for who divides them. */
+    default List<BudgetUse> budgets(long now) {
+        return List.of();
+    }
+
     /** A message from another proxy. */
     void onPeerMessage(long now, int from, String message);
 
--- a/decision/src/main/java/dockrelay/RiqBalancer.java
+++ b/decision/src/main/java/dockrelay/RiqBalancer.java
@@ -145,6 +145,7 @@
     private double warmWeight = 1, weightOfAll = 1; // of the window
     private double meanBadness, meanFloor, okRate;
     private long okRateAt, startedAt;
+    private final Allowances allowances = new Allowances(); // nothing, unless proxies share budgets
     private Fleet fleet; // null until something is told of it
     private long fleetAsOf;
     private double warmOfAll = 1; // not of the window alone
@@ -441,7 +442,9 @@
         double nearer = budget > service.usualBudget ? 1 + MEDIAN_STEP / 10 : 1 - MEDIAN_STEP / 10;
         service.usualBudget = service.usualBudget == 0 ? budget : service.usualBudget * nearer;
         // Guards against tenants above their share filling the fleet: theirs is shed first.
-        boolean within = tenants.isEmpty() || takeShare(now, tenants.get(p.request.tenant()), trimmed);
+        String share = Allowances.TENANT + p.request.tenant();
+        boolean within = tenants.isEmpty() || (allowances.has(share) ? allowances.take(now, share)
+            : takeShare(now, tenants.get(p.request.tenant()), trimmed));
         // Guards against work for clients whose aim has passed in an earlier try: it can earn nothing.
         boolean hopeless = trimmed && service.spec.lateWorth() == 0
             && service.spec.deadline() - budget >= service.spec.aim();
@@ -522,7 +525,7 @@
         } else if (copies) {
             send(now, p, drawn[0]);
             int most = Math.min(idle, Math.max(1, settings.limits().maxAttempts() - 1));
-            for (int i = 1; i < most && copyBudget >= 1; i++) {
+            for (int i = 1; i < most && copyBudget >= 1 && allowances.take(now, Allowances.EXTRA); i++) {
                 copyBudget -= 1;
                 p.copied = true;
                 copiesSent++;
@@ -754,7 +757,7 @@
             return false;
         }
         int count = draw(now, p, warmOnly);
-        if (count == 0) {
+        if (count == 0 || !allowances.take(now, Allowances.EXTRA)) {
             return false;
         }
         int chosen = below(count);
@@ -1018,6 +1021,16 @@
         }
     }
 
+    @Override
+    public void onBudgets(long now, long telling, long until, List<BudgetPart> parts) {
+        allowances.told(now, telling, until, parts);
+    }
+
+    @Override
+    public List<BudgetUse> budgets(long now) {
+        return allowances.uses(now);
+    }
+
     private boolean fleetKnown(long now) {
         return fleet != null && now - fleetAsOf <= FLEET_STALE;
     }
--- a/lab/src/main/java/dockrelay/lab/process/Configuration.java
+++ b/lab/src/main/java/dockrelay/lab/process/Configuration.java
@@ -37,6 +37,9 @@
             peers.forEach(peer -> named.put("n" + named.size(), peer));
             top.put("peers", named);
         }
+        if (experiment.permissions().extra() > 0) {
+            top.put("budgets", Map.of("extra", Map.of("per_second", experiment.permissions().extra())));
+        }
         top.put("settings", settings(experiment, proxy.index()));
         try {
             return JSON.writerWithDefaultPrettyPrinter().writeValueAsString(top);
--- a/lab/src/main/java/dockrelay/lab/referee/Referee.java
+++ b/lab/src/main/java/dockrelay/lab/referee/Referee.java
@@ -29,6 +29,9 @@
      */
     private static final double TOLD_SHARE = 2.0 / 3;
 
+    /** The least burst of a budget, and how much later than others an attempt may arrive. */
+    private static final double LEAST_BURST = 2, WAY = 300_000;
+
     /** One breach. Request and proxy may be empty. */
     public record Broken(Rule rule, long at, String request, String proxy, String what) {
     }
@@ -52,6 +55,8 @@
     private final List<Trouble> troubles = new ArrayList<>();
     private final List<Broken> broken = new ArrayList<>();
     private final Map<Rule, Integer> counts = new EnumMap<>(Rule.class);
+    private double extraLeft;
+    private long extras, extraAt;
     private long attempts, firstTries, allTries, probes, connections, turnedAway;
 
     public Referee(Plan plan) {
@@ -107,6 +112,9 @@
             breach(Rule.DRAIN, now, id, proxy, "sent to " + name(node) + " " + (now - out) / 1000
                 + " ms after its yes to DETACH");
         }
+        if (!of.attempts.isEmpty() && experiment.permissions().extra() > 0) {
+            extra(now, id, proxy);
+        }
         RandomGenerator random = Seeds.stream(of.arrival.salt(), "attempt at " + node);
         double noise = type.attemptNoise().draw(random);
         double work = of.arrival.work() * Math.exp(random.nextGaussian() * noise - noise * noise / 2);
@@ -116,6 +124,24 @@
         return attempt;
     }
 
+    /** A bucket of the whole: what is sent within it may arrive bunched by what the way takes. */
+    private void extra(long now, String id, int proxy) {
+        double rate = experiment.permissions().extra();
+        double most = Math.max(LEAST_BURST, rate) + rate * WAY / 1e6;
+        extraLeft = extras++ == 0 ? most : Math.min(most, extraLeft + rate * (now - extraAt) / 1e6);
+        extraAt = now;
+        extraLeft -= 1;
+        if (extraLeft < 0) {
+            breach(Rule.BUDGET, now, id, proxy, String.format(java.util.Locale.ROOT,
+                "%.1f more than the whole fleet's budget of %.1f a second", -extraLeft, rate));
+        }
+    }
+
+    /** Further attempts that reached a node. */
+    public synchronized long extras() {
+        return extras;
+    }
+
     /** Why a class forbids another attempt after one that may have run; null where it does not. */
     private String forbids(ServiceClass type, Attempt earlier, int node, long now) {
         if (type.effect() == Effect.IDEMPOTENT) {
--- a/lab/src/main/java/dockrelay/lab/referee/Rule.java
+++ b/lab/src/main/java/dockrelay/lab/referee/Rule.java
@@ -18,6 +18,8 @@
     DRAIN,
     /** No cold node is pushed over by all proxies together. */
     COLD,
+    /** Copies, hedges and retries of all proxies together stay within the fleet's budget. */
+    BUDGET,
     /** The process stays within its memory. */
     MEMORY,
     /** The process stays within its descriptors. */
--- a/lab/src/main/java/dockrelay/lab/report/Result.java
+++ b/lab/src/main/java/dockrelay/lab/report/Result.java
@@ -91,6 +91,7 @@
         values.put("attempts", map("per_request", round(totals.attempts() / first), "turned_away",
             totals.turnedAway(), "new_connections_per_request", round(totals.connections() / first),
             "work_used_share", work > 0 ? round(totals.usefulWork() / work) : 1.0));
+        values.put("extra_attempts", referee.extras());
         values.put("rules_broken", rules(referee.counts()));
         List<Map<String, Object>> told = new ArrayList<>();
         for (Referee.Broken one : broken) {
--- a/lab/src/main/java/dockrelay/lab/spec/Experiment.java
+++ b/lab/src/main/java/dockrelay/lab/spec/Experiment.java
@@ -109,9 +109,11 @@
         long fall, double fallMultiple) {
     }
 
-    /** What the settings allow the proxies. */
+    /**
+     * What the settings allow the proxies; extra is a budget of copies, hedges and retries a second, or 0.
+     */
     public record Permissions(int maxAttempts, boolean cancel, boolean secondCopies, boolean probes,
-        boolean peers, boolean retryAfter) {
+        boolean peers, boolean retryAfter, double extra) {
     }
 
     /** What becomes of a proxy's folder between its processes. */
--- a/lab/src/main/java/dockrelay/lab/spec/ExperimentReader.java
+++ b/lab/src/main/java/dockrelay/lab/spec/ExperimentReader.java
@@ -261,7 +261,7 @@
     private static Permissions permissions(Section s) {
         Permissions result = new Permissions(s.count("max_attempts", 6, 1, 100), s.flag("cancel", true),
             s.flag("second_copies", true), s.flag("probes", true), s.flag("peers", false),
-            s.flag("retry_after", true));
+            s.flag("retry_after", true), s.number("extra", 0, 0, 100_000));
         s.done();
         return result;
     }
--- /dev/null
+++ b/lab/src/test/java/dockrelay/lab/RealBudgetsTest.java
@@ -0,0 +1,83 @@
+package dockrelay.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockrelay.lab.plan.Plan;
+import dockrelay.lab.process.Build;
+import dockrelay.lab.report.Result;
+import dockrelay.lab.spec.ExperimentReader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Four proxies, as processes, that share a budget of further attempts while nodes are slow and fail: one
+ * proxy is
+ * killed, stopped, cut off, replaced. What reaches the nodes is held against the whole.
+ */
+class RealBudgetsTest {
+    private static final double EXTRA = 12;
+
+    @TempDir
+    Path folder;
+
+    @Test
+    void noMoreReachesTheNodesThanTheWholeFleetMaySpend() throws Exception {
+        Path file = Files.writeString(folder.resolve("budgets.toml"), """
+            shows = "budgets"
+            length = "34s"
+            [proxies]
+            count = 4
+            shared_socket = true
+            [nodes]
+            count = 6
+            [clients]
+            load = 0.6
+            [permissions]
+            peers = true
+            extra = %s
+            [[fault]]
+            kind = "slow"
+            at = "9s"
+            lasts = "20s"
+            part = 0.5
+            size = 6
+            [[fault]]
+            kind = "kill"
+            at = "11s"
+            lasts = "2s"
+            victims = ["n1"]
+            [[fault]]
+            kind = "pause"
+            at = "15s"
+            lasts = "6s"
+            victims = ["n2"]
+            [[fault]]
+            kind = "link"
+            at = "17s"
+            lasts = "6s"
+            from = ["n3"]
+            to = ["n0", "n1", "n2"]
+            mode = "silent"
+            [[fault]]
+            kind = "upgrade"
+            at = "25s"
+            victims = ["n0"]
+            """.formatted(EXTRA));
+        Result result = new LabRun(Plan.of(ExperimentReader.read(file), 3), Build.of(Path.of("..")),
+            folder.resolve("out"), text -> { }).play();
+        assertEquals(List.of(), result.broken);
+        int keepers = 0;
+        for (String name : List.of("n0.1", "n1.1", "n2.1", "n3.1")) {
+            keepers += Files.readString(folder.resolve("out/proxies/" + name + "/log"))
+                .contains("budgets: the keeper of term") ? 1 : 0;
+        }
+        assertTrue(keepers > 0, "nobody was the keeper");
+        long extras = (Long) result.values().get("extra_attempts");
+        System.out.println("further attempts that reached nodes: " + extras + " of at most " + EXTRA * 34);
+        assertTrue(extras > 20, extras + ": the budget was hardly used, and so hardly tried");
+    }
+}
--- a/lab/src/test/java/dockrelay/lab/RefereeProofTest.java
+++ b/lab/src/test/java/dockrelay/lab/RefereeProofTest.java
@@ -41,6 +41,7 @@
         PROOFS.put("attempts", Set.of(Rule.ATTEMPTS));
         PROOFS.put("drain", Set.of(Rule.DRAIN));
         PROOFS.put("cold", Set.of(Rule.COLD));
+        PROOFS.put("budget", Set.of(Rule.BUDGET));
         PROOFS.put("memory", Set.of(Rule.MEMORY));
         PROOFS.put("descriptors", Set.of(Rule.DESCRIPTORS));
         PROOFS.put("crash", Set.of(Rule.CRASH, Rule.ANSWERED)); // what it had in hand is lost with it
@@ -74,6 +75,8 @@
             retries = 0
             [rules]
             drain_grace = "500ms"
+            [permissions]
+            extra = %s
             [[fault]]
             kind = "drain"
             at = "1s"
@@ -85,7 +88,7 @@
             lasts = "600ms"
             victims = ["s-1"]
             """.formatted(fault.equals("memory") ? "300MiB" : "1GiB", fault.equals("cold") ? 0.3 : 1,
-            fault.equals("cold") ? 0.8 : 0.45));
+            fault.equals("cold") ? 0.8 : 0.45, fault.equals("budget") ? 2 : 0));
         Path root = Files.createDirectories(folder.resolve("build-" + fault));
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         Build build = new Build(root, "FAULT=" + fault + " exec " + java + " -Xmx600m -XX:+UseSerialGC -cp '"
--- a/lab/src/test/java/dockrelay/lab/StandIn.java
+++ b/lab/src/test/java/dockrelay/lab/StandIn.java
@@ -159,6 +159,9 @@
                 send(to(next(), exchange, path, body).timeout(Duration.ofMillis(5)).build());
             }
         }
+        if (fault.equals("budget") && !update && body.isEmpty()) {
+            send(to(next(), exchange, path, body).timeout(Duration.ofMillis(5)).build());
+        }
         if (fault.equals("repeat") && update) {
             for (Server other : servers.values()) {
                 if (other.cell != server.cell) {
--- a/proxy/src/main/java/dockrelay/proxy/Config.java
+++ b/proxy/src/main/java/dockrelay/proxy/Config.java
@@ -3,6 +3,9 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import dockrelay.Balancer.Settings;
+import dockrelay.Balancer.Tenant;
+import dockrelay.fleet.budget.Budget;
+import dockrelay.fleet.budget.BudgetException;
 import dockrelay.settings.Json;
 import dockrelay.settings.SettingsReader;
 import java.io.IOException;
@@ -12,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What the proxy is told at its start. Times are in microseconds. Where {@code peers} is an object, its names
@@ -20,8 +24,11 @@
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
               int memory, Map<?, ?> known, Settings settings, long connectTimeout, long connectionIdle,
               boolean retryAfter, InetSocketAddress console, InetSocketAddress peerListen,
-              List<InetSocketAddress> peers, InetSocketAddress peersAll, List<String> members) {
+              List<InetSocketAddress> peers, InetSocketAddress peersAll, List<String> members,
+              List<Budget> budgets, List<String> retired) {
     private static final double MICROS = 1_000_000;
+    /** Copies, hedges and retries of all proxies together. */
+    private static final Set<String> BUDGETS = Set.of("extra");
 
     static Config read(Path file) throws IOException {
         return parse(Files.readString(file));
@@ -45,7 +52,34 @@
             (long) (number(allowed, "ConnIdle", 15) * MICROS),
             !Boolean.FALSE.equals(allowed.get("RetryAfter")), maybe(top, "console"),
             maybe(top, "peer_listen"), peers(top), maybe(top, "peers_all"),
-            map(top, "peers").keySet().stream().map(String.class::cast).toList());
+            map(top, "peers").keySet().stream().map(String.class::cast).toList(),
+            budgets(top, SettingsReader.read(settings)),
+            list(top, "retired").stream().map(String.class::cast).toList());
+    }
+
+    /** Where {@code budgets} is there: those that it names, and each tenant's share. */
+    private static List<Budget> budgets(Map<?, ?> top, Settings settings) {
+        List<Budget> result = new ArrayList<>();
+        if (!(top.get("budgets") instanceof Map<?, ?> named)) {
+            return result;
+        }
+        named.forEach((name, value) -> {
+            if (!BUDGETS.contains(name) || !(value instanceof Map<?, ?>)) {
+                throw new BudgetException(BudgetException.Code.NAME, "budgets." + name + " = " + value
+                    + " is not known", "allowed are " + BUDGETS
+                    + ", each {\"per_second\": NUMBER, \"burst\": NUMBER}");
+            }
+            Map<?, ?> of = (Map<?, ?>) value;
+            Budget budget = Budget.perSecond((String) name, number(of, "per_second", 0));
+            result.add(of.containsKey("burst") ? new Budget(budget.name(), budget.rate(),
+                Math.round(number(of, "burst", 0) * Budget.ONE)) : budget);
+        });
+        for (Tenant tenant : settings.tenants()) {
+            if (tenant.quotaPerSecond() > 0) {
+                result.add(Budget.perSecond("tenant/" + tenant.name(), tenant.quotaPerSecond()));
+            }
+        }
+        return result;
     }
 
     private static List<InetSocketAddress> peers(Map<?, ?> top) {
--- a/proxy/src/main/java/dockrelay/proxy/Console.java
+++ b/proxy/src/main/java/dockrelay/proxy/Console.java
@@ -49,14 +49,16 @@
     private final Operators operators;
     private final BooleanSupplier serving;
     private final Function<String, CompletableFuture<Void>> enforce;
-    private final Supplier<CompletableFuture<String>> members;
+    private final Supplier<CompletableFuture<String>> members, budgets; // null where there are none
     private final Set<Channel> callers = new LinkedHashSet<>(); // the one that came first is first
     private final Channel listener;
 
     /** Told of a changed backend, {@code enforce} says when the change is in force; no members, no such
      * call. */
     Console(InetSocketAddress address, Operators operators, BooleanSupplier serving,
-            Function<String, CompletableFuture<Void>> enforce, Supplier<CompletableFuture<String>> members) {
+            Function<String, CompletableFuture<Void>> enforce, Supplier<CompletableFuture<String>> members,
+            Supplier<CompletableFuture<String>> budgets) {
+        this.budgets = budgets;
         this.members = members;
         this.operators = operators;
         this.serving = serving;
@@ -95,6 +97,8 @@
                     : "400 not serving");
             } else if ("MEMBERS".equals(words[0]) && words.length == 1 && members != null) {
                 return members.get();
+            } else if ("BUDGETS".equals(words[0]) && words.length == 1 && budgets != null) {
+                return budgets.get();
             } else if ("DETACH".equals(words[0]) || "ATTACH".equals(words[0])) {
                 if (words.length != 2 || words[1].isEmpty()) {
                     return CompletableFuture.completedFuture("400 usage: " + words[0] + " ID");
@@ -115,7 +119,7 @@
             return CompletableFuture.completedFuture("400 cannot keep the change: nothing is changed");
         }
         return CompletableFuture.completedFuture("400 calls are PING, DETACH ID and ATTACH ID"
-            + (members == null ? "" : ", and MEMBERS"));
+            + (members == null ? "" : ", and MEMBERS") + (budgets == null ? "" : ", and BUDGETS"));
     }
 
     /** One caller. */
--- /dev/null
+++ b/proxy/src/main/java/dockrelay/proxy/FleetBudgets.java
@@ -0,0 +1,180 @@
+package dockrelay.proxy;
+
+import dockrelay.Balancer.BudgetPart;
+import dockrelay.Balancer.BudgetUse;
+import dockrelay.fleet.Row;
+import dockrelay.fleet.State;
+import dockrelay.fleet.budget.Budget;
+import dockrelay.fleet.budget.BudgetPace;
+import dockrelay.fleet.budget.BudgetRow;
+import dockrelay.fleet.budget.Budgets;
+import dockrelay.fleet.budget.Part;
+import dockrelay.fleet.budget.Use;
+import io.netty.channel.EventLoop;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+/** Plays the budgets' machine for real, on the members' thread; the module spends on its own. */
+final class FleetBudgets implements Budgets.Actions {
+    private static final long REPORT_MILLIS = 100;
+    /** One that is held gone for so long has no vote any more, so that the others' go on sufficing. */
+    private static final long GONE_MICROS = 10_000_000;
+
+    private final EventLoop loop;
+    private final RequestTable table;
+    private final BiConsumer<String, ByteBuffer> sender;
+    private final Budgets machine;
+    private final Map<String, Long> askedBefore = new HashMap<>();
+    private volatile boolean left;
+    private long reportedAt, lastTold; // the table's thread has them
+
+    FleetBudgets(EventLoop loop, RequestTable table, Config config, int life, Random random,
+                 BiConsumer<String, ByteBuffer> sender) {
+        this.loop = loop;
+        this.table = table;
+        this.sender = sender;
+        long now = now();
+        this.reportedAt = now;
+        this.machine = new Budgets(config.name(), config.members(), config.budgets(), life, BudgetPace.USUAL,
+            random, this, now);
+        machine.retired(now, config.retired());
+        schedule();
+        table.loop().scheduleWithFixedDelay(this::report, REPORT_MILLIS, REPORT_MILLIS,
+            TimeUnit.MILLISECONDS);
+    }
+
+    /** Nothing is to be spent before a part is there. */
+    static void none(RequestTable table, Config config) {
+        table.budgets(0, 0, config.budgets().stream().map(budget -> new BudgetPart(budget.name(), 0, 0, 0))
+            .toList());
+    }
+
+    private static long now() {
+        return System.nanoTime() / 1000;
+    }
+
+    private void schedule() {
+        loop.schedule(() -> {
+            if (!left) {
+                machine.tick(now());
+                schedule();
+            }
+        }, Math.max(0, machine.nextAt() - now()), TimeUnit.MICROSECONDS);
+    }
+
+    void receive(String from, ByteBuffer datagram) {
+        if (!left) {
+            machine.receive(now(), from, datagram);
+        }
+    }
+
+    void presence(List<Row> rows) {
+        List<String> here = new ArrayList<>(), away = new ArrayList<>();
+        for (Row row : rows) {
+            if (row.state() == State.PRESENT || row.state() == State.SUSPECT) {
+                here.add(row.name());
+            } else if (row.state() == State.LEFT || row.state() == State.GONE && row.since() > GONE_MICROS) {
+                away.add(row.name());
+            }
+        }
+        machine.presence(here, away);
+    }
+
+    void configure(Config next) {
+        machine.configure(now(), next.members(), next.budgets());
+        machine.retired(now(), next.retired());
+    }
+
+    @Override
+    public void send(String to, ByteBuffer datagram) {
+        sender.accept(to, datagram);
+    }
+
+    @Override
+    public void parts(long telling, List<Part> parts, long until) {
+        tell(telling, until, parts);
+    }
+
+    private void tell(long telling, long until, List<Part> parts) {
+        List<BudgetPart> told = parts.stream().map(part -> new BudgetPart(part.budget(), micros(part.rate()),
+            micros(part.burst()), micros(part.add()))).toList();
+        table.loop().execute(() -> {
+            if (!left) {
+                table.budgets(telling, until - now(), told);
+                lastTold = telling;
+            }
+        });
+    }
+
+    private static double micros(long amount) {
+        return amount / (double) Budget.ONE;
+    }
+
+    /** On the table's thread: what the module has made of what it was told up to here. */
+    private void report() {
+        if (left) {
+            return;
+        }
+        long now = now(), went = Math.max(1, now - reportedAt), upTo = lastTold;
+        reportedAt = now;
+        List<Use> uses = new ArrayList<>();
+        for (BudgetUse use : table.budgets()) {
+            Long before = askedBefore.put(use.budget(), use.asked());
+            double wanted = (use.asked() - (before == null ? 0 : before)) * 1e6 / went * Budget.ONE;
+            uses.add(new Use(use.budget(), wanted, use.waits() ? 1 : 0, (long) Math.ceil(use.left() *
+                Budget.ONE),
+                use.spent()));
+        }
+        loop.execute(() -> machine.used(upTo, uses));
+    }
+
+    /** On the table's thread: from here on nothing is spent, whatever is still on its way. */
+    void stopSpending() {
+        left = true;
+        table.budgets(Long.MAX_VALUE, 0, List.of());
+    }
+
+    /** On the members' thread, once nothing is spent any more. */
+    void leave() {
+        machine.leave(now());
+    }
+
+    void log() {
+        Map<String, Long> refused = machine.refused();
+        if (!refused.isEmpty()) {
+            Log.line("budgets-refused", "datagrams not taken: " + refused);
+        }
+    }
+
+    @Override
+    public void news(String text) {
+        Log.line("budgets", text);
+    }
+
+    /** What the console answers: a line for all, then one a budget. */
+    String describe() {
+        long now = now();
+        String keeper = machine.keeper(now);
+        StringBuilder text = new StringBuilder("200 keeper=" + (machine.keeps(now) ? "self" : keeper == null
+            ? "none" : keeper));
+        if (machine.waitsFor() != null) {
+            text.append(" waits-for=").append(machine.waitsFor());
+        }
+        for (BudgetRow row : machine.rows(now)) {
+            text.append(String.format(Locale.ROOT, "%n%s whole=%.3f/s burst=%.1f part=%.3f/s part-burst=%.1f"
+                + " wanted=%.1f/s spent=%d lease=%.1fs age=%.1fs", row.whole().name(),
+                    micros(row.whole().rate()),
+                micros(row.whole().burst()), micros(row.rate()), micros(row.burst()), row.wanted() /
+                    Budget.ONE,
+                row.spent(), row.lease() / 1e6, Math.min(row.age() / 1e6, 99_999)));
+        }
+        return text.toString();
+    }
+}
--- a/proxy/src/main/java/dockrelay/proxy/Members.java
+++ b/proxy/src/main/java/dockrelay/proxy/Members.java
@@ -8,6 +8,7 @@
 import dockrelay.fleet.Row;
 import dockrelay.fleet.Standing;
 import dockrelay.fleet.State;
+import dockrelay.fleet.budget.Budgets;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -52,6 +53,9 @@
     private Config config;
     private Membership machine;
     private long suspicions, clashes, reserved;
+    private final RequestTable table;
+    private FleetBudgets budgets; // null where the configuration names none
+    private volatile FleetBudgets spending; // the same, for other threads
     private boolean ended;
 
     /** The folder outlives the process, or is null; the module is told through the consumer. */
@@ -59,6 +63,7 @@
         this.config = config;
         this.file = folder == null ? null : folder.resolve("incarnation");
         this.told = told;
+        this.table = table;
         this.random = new Random(config.seed());
         this.peers = new Peers(loop, config, table, this::receive);
     }
@@ -79,9 +84,13 @@
     private void begin() {
         // What others remember of a higher one is countered; the wall clock only makes that rare.
         long incarnation = Math.max(kept() + 1, System.currentTimeMillis() / 1000);
-        machine = new Membership(config.name(), config.members(), incarnation, random.nextInt() | 1,
-            Pace.USUAL,
-            random, this, now());
+        int life = random.nextInt() | 1;
+        machine = new Membership(config.name(), config.members(), incarnation, life, Pace.USUAL, random, this,
+            now());
+        if (!config.budgets().isEmpty()) {
+            budgets = new FleetBudgets(loop, table, config, life, new Random(random.nextLong()), this::send);
+            spending = budgets;
+        }
         schedule();
         loop.scheduleWithFixedDelay(this::tell, TELL_MILLIS, TELL_MILLIS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(this::log, LOG_MILLIS, LOG_MILLIS, TimeUnit.MILLISECONDS);
@@ -108,12 +117,21 @@
     private void receive(int from, ByteBuf content) {
         if (machine != null && !ended) {
             ByteBuffer bytes = content.nioBuffer();
+            if (bytes.hasRemaining() && Budgets.ours(bytes.get(0))) {
+                if (budgets != null) {
+                    guarded(() -> budgets.receive(from < 0 ? null : config.members().get(from), bytes));
+                }
+                return;
+            }
             guarded(() -> machine.receive(now(), from < 0 ? null : config.members().get(from), bytes));
         }
     }
 
     private void tell() {
         if (!ended) {
+            if (budgets != null) {
+                guarded(() -> budgets.presence(machine.rows(now())));
+            }
             Standing standing = machine.standing(now());
             told.accept(new Fleet(standing.members(), standing.me(), standing.share(), standing.leastShare(),
                 Agreement.valueOf(standing.agreement().name()), 0));
@@ -149,6 +167,9 @@
             Log.line("members", line.toString());
         }
         news.clear();
+        if (budgets != null) {
+            budgets.log();
+        }
         Map<String, Long> refused = machine.refused();
         if (!refused.isEmpty()) {
             Log.line("members-refused", "datagrams not taken: " + refused);
@@ -197,21 +218,45 @@
             }
             config = next;
             peers.configure(next);
+            if (budgets != null) {
+                budgets.configure(next);
+            }
         }));
     }
 
+    /**
+     * On the module's thread: nothing of the fleet's budgets is spent any more, so they can be given back.
+     */
+    void stopSpending() {
+        if (spending != null) {
+            spending.stopSpending();
+        }
+    }
+
     /** Says goodbye, and goes on answering until the process ends. */
     void leave() {
         loop.execute(() -> {
+            if (budgets != null) {
+                guarded(budgets::leave);
+            }
             if (machine != null) {
                 guarded(() -> machine.leave(now()));
             }
         });
     }
 
+    /** What the console answers of budgets: a line for all, then one a budget. */
+    CompletableFuture<String> describeBudgets() {
+        return CompletableFuture.supplyAsync(() -> budgets == null || ended ? "400 no budgets are shared"
+            : budgets.describe(), loop);
+    }
+
     /** Gives its place to the next process of this name: the others see one member. */
     CompletableFuture<Void> handOver() {
         return CompletableFuture.runAsync(() -> {
+            if (budgets != null) {
+                guarded(budgets::leave);
+            }
             ended = true;
             peers.close();
             // The next process has the name's part from now on.
--- a/proxy/src/main/java/dockrelay/proxy/Peers.java
+++ b/proxy/src/main/java/dockrelay/proxy/Peers.java
@@ -1,6 +1,7 @@
 package dockrelay.proxy;
 
 import dockrelay.fleet.Membership;
+import dockrelay.fleet.budget.Budgets;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -103,7 +104,8 @@
             context.channel().config().setAutoRead(false);
         }
         if (members != null && content.isReadable()
-            && (Membership.ours(content.getByte(content.readerIndex())) || from < 0)) {
+            && (from < 0 || Membership.ours(content.getByte(content.readerIndex()))
+            || Budgets.ours(content.getByte(content.readerIndex())))) {
             members.receive(from, content);
         } else if (from >= 0) {
             String message = content.toString(StandardCharsets.UTF_8);
--- a/proxy/src/main/java/dockrelay/proxy/Proxy.java
+++ b/proxy/src/main/java/dockrelay/proxy/Proxy.java
@@ -106,12 +106,17 @@
             tell = new Peers(loop, config, table)::tell;
         }
         table.attach(new RiqBalancer(config.settings(), config.seed(), table), discovery::subscribe, tell);
+        if (members != null && !config.budgets().isEmpty()) {
+            loop.execute(() -> FleetBudgets.none(table, config));
+        }
         clients = new ClientSide(table, config.settings().classes(), fromClients, this::ready,
             counters, bound);
         loop.execute(() -> discovery.start(config.known()));
         console = platform.console() == null ? null
             : new Console(platform.console(), operators, () -> accepting && ready(), this::enforce,
-                members == null ? null : members::describe);
+                members == null ? null : members::describe, config.budgets().isEmpty() || members == null ?
+                    null
+                : members::describeBudgets);
         succession = console == null || platform.folder() == null ? null : new Succession(platform.folder());
         if (succession != null) {
             console.every(LOOK_MILLIS, this::lookAround);
@@ -280,6 +285,9 @@
         loop.execute(() -> {
             Log.line("stop", "asked to end with " + table.size() + " requests in hand");
             stopping = true;
+            if (members != null) {
+                members.stopSpending();
+            }
             if (members != null && shared && beside) {
                 members.handOver();
             } else if (members != null) {
--- a/proxy/src/main/java/dockrelay/proxy/RequestTable.java
+++ b/proxy/src/main/java/dockrelay/proxy/RequestTable.java
@@ -2,6 +2,8 @@
 
 import dockrelay.Balancer;
 import dockrelay.Balancer.Backend;
+import dockrelay.Balancer.BudgetPart;
+import dockrelay.Balancer.BudgetUse;
 import dockrelay.Balancer.Fleet;
 import dockrelay.Balancer.ListScope;
 import dockrelay.Balancer.LoadReport;
@@ -465,6 +467,15 @@
         enter(null, () -> module.onFleet(clock.getAsLong(), fleet));
     }
 
+    /** What may be spent of the fleet's budgets, for so many microseconds from now. */
+    void budgets(long telling, long lasts, List<BudgetPart> parts) {
+        enter(null, () -> module.onBudgets(clock.getAsLong(), telling, clock.getAsLong() + lasts, parts));
+    }
+
+    List<BudgetUse> budgets() {
+        return module.budgets(clock.getAsLong());
+    }
+
     EventLoop loop() {
         return loop;
     }
