--- a/fleet/src/test/java/dockrelay/fleet/budget/BudgetsTest.java
+++ b/fleet/src/test/java/dockrelay/fleet/budget/BudgetsTest.java
@@ -128,8 +128,8 @@
         long anew = until(world, () -> world.all.stream().anyMatch(one -> !one.dead && !one.deaf
             && one.machine.keeps(one.local())));
         long whole = until(world, () -> world.lent() > 0.9 * budget.rate());
-        System.out.printf("%d members: a quarter that dies: its parts are back after %.1f s, a newcomer has one"
-            + " after %.1f s, a goodbye's is divided after %.1f s; a keeper's death: the next one after %.1f s,"
+        System.out.printf("%d members: parts of a quarter that dies are back after %.1f s, a newcomer has one"
+            + " after %.1f s, a goodbye's is divided after %.1f s; a keeper's death: the next after %.1f s,"
             + " all divided %.1f s later%n", members, back / 1e6, came / 1e6, gone / 1e6, anew / 1e6,
             whole / 1e6);
         assertTrue(came <= 2 * BudgetWorld.SECOND && gone <= BudgetWorld.SECOND, came + " and " + gone);
