Lend nothing twice of a budget that a keeper forgot and is told of again

Need: read again, Ledger.configure dropped a removed budget's account but kept what was lent of it; named again at a later SIGHUP, with leases still running, the whole of it counted as free: the sum could reach twice the whole for a lease.

Change: each account has a time of its own until which others may have all of it; what was lent of a removed budget is dropped from the ledger and waits for that time.

--- a/fleet/src/main/java/dockrelay/fleet/budget/Ledger.java
+++ b/fleet/src/main/java/dockrelay/fleet/budget/Ledger.java
@@ -53,13 +53,14 @@
     /** One budget: the whole, what is lent of it, and what others may have of it that have not told. */
     static final class Account {
         final Budget whole;
-        final long rate;
+        final long rate, unlockAt; // until then others may have what was lent before this account was opened
         long unknownRate, unknownBurst, lentRate, lentBurst, filledAt;
         double tokens;
         boolean shortOf; // somebody has far too little: all others make room, however small their part of it
 
-        Account(Budget whole, long now) {
+        Account(Budget whole, long now, long unlockAt) {
             this.whole = whole;
+            this.unlockAt = unlockAt;
             this.rate = (long) (whole.rate() * EARNED);
             this.unknownRate = rate;
             this.unknownBurst = whole.burst();
@@ -83,7 +84,7 @@
     }
 
     private final BudgetPace pace;
-    private final long term, unlockAt;
+    private final long term;
     private final Map<Integer, Account> accounts = new LinkedHashMap<>();
     private final Map<Long, Borrower> borrowers = new LinkedHashMap<>();
     private long dividedAt = Long.MIN_VALUE;
@@ -92,7 +93,6 @@
     Ledger(Collection<Budget> budgets, long term, BudgetPace pace, long now) {
         this.term = term;
         this.pace = pace;
-        this.unlockAt = now + pace.leaseOver();
         configure(now, budgets);
     }
 
@@ -101,8 +101,8 @@
         Map<Integer, Account> before = new HashMap<>(accounts);
         accounts.clear();
         for (Budget budget : budgets) {
-            Account account = new Account(budget, now);
-            Account old = before.get(budget.id());
+            Account old = before.remove(budget.id());
+            Account account = new Account(budget, now, old == null ? now + pace.leaseOver() : old.unlockAt);
             if (old != null) {
                 account.unknownRate = old.unknownRate;
                 account.unknownBurst = old.unknownBurst;
@@ -112,6 +112,8 @@
             }
             accounts.put(budget.id(), account);
         }
+        // One that is named again later starts as one that others may have all of.
+        borrowers.values().forEach(borrower -> borrower.lent.keySet().removeAll(before.keySet()));
         dividedAt = Long.MIN_VALUE;
     }
 
@@ -140,7 +142,7 @@
             }
         }
         for (Account account : accounts.values()) {
-            if (now >= unlockAt) {
+            if (now >= account.unlockAt) {
                 account.unknownRate = 0;
                 account.unknownBurst = 0;
             }
--- a/fleet/src/test/java/dockrelay/fleet/budget/BudgetsTest.java
+++ b/fleet/src/test/java/dockrelay/fleet/budget/BudgetsTest.java
@@ -137,6 +137,25 @@
             whole);
     }
 
+    /** A keeper that is told to forget a budget and to have it again lends nothing that is still lent. */
+    @Test
+    void aBudgetThatIsNamedAgainIsNotLentTwice() {
+        Budget budget = Budget.perSecond("again", 100);
+        long now = BudgetPace.USUAL.leaseOver() + 1;
+        Ledger ledger = new Ledger(List.of(budget), 1, BudgetPace.USUAL, 0);
+        assertTrue(ledger.ask(now, first(1, budget)).lines().get(0).rate() > 0, "all is free");
+        ledger.configure(now + 1, List.of());
+        ledger.configure(now + 2, List.of(budget));
+        assertTrue(ledger.ask(now + 3, first(2, budget)).lines().get(0).rate() == 0, "it is lent still");
+        assertTrue(ledger.ask(now + 3 + BudgetPace.USUAL.leaseOver(), first(3, budget)).lines().get(0).rate()
+            > 0, "it is over");
+    }
+
+    private static Message first(int name, Budget budget) {
+        return new Message(Message.Kind.ASK, name, 7, 0, 1, 1, 0, 0, false, 0, null, null,
+            List.of(new Message.Line(budget.id(), 0, 0, budget.rate(), 0)));
+    }
+
     private static long until(BudgetWorld world, BooleanSupplier holds) {
         long from = world.now;
         while (!holds.getAsBoolean() && world.now - from < 30 * BudgetWorld.SECOND) {
