Keep what all proxies have saved up for a cold backend within what it can take

Need: a cold backend falls under the sum of what all processes send, beyond N only 2 root N + 2 are put down to chance. Each process saved two sends for ever (60 with 30 processes, where N may be 15), and a rate that eight backends had answered was taken for what the one left could do once the list shrank.

Change: RiqBalancer.paced loses a send that has waited for 0.4 of the fall time (Rules.fallTime, the settings' Fall), and weighs the rate by the weight that answered it (weightAnswered). An attempt keeps zone, cell and start of its backend as they were: a repeat goes to the group that remembers the first one, and outcomes of a process that has ended are not held against the next one of its id. Settings that cannot be name key, value and what is allowed.

The two new tests of RulesTest fail without their mends.

--- a/decision/src/main/java/dockrelay/Balancer.java
+++ b/decision/src/main/java/dockrelay/Balancer.java
@@ -90,15 +90,23 @@
     }
 
     /**
-     * The figures of cold starts, of asked discovery and of drains. Idle connections to a draining backend
-     * are to be closed within closeOnDrainWithin; 0 where there is no such rule.
+     * The figures of cold starts, of asked discovery and of drains. A cold backend falls over where it gets
+     * fallMultiple times what it can do for fallTime. Idle connections to a draining backend are to be closed
+     * within closeOnDrainWithin; 0 where there is no such rule.
      */
-    record Rules(double coldShare, long coldTime, double fallMultiple, long askWithin,
+    record Rules(double coldShare, long coldTime, double fallMultiple, long fallTime, long askWithin,
         long closeOnDrainWithin) {
+        /** Where nothing is said of the time: a second. */
+        public Rules(double coldShare, long coldTime, double fallMultiple, long askWithin,
+            long closeOnDrainWithin) {
+            this(coldShare, coldTime, fallMultiple, 1_000_000, askWithin, closeOnDrainWithin);
+        }
+
         public Rules {
             require(coldShare > 0 && coldShare <= 1, "rules coldShare");
             require(coldTime >= 0, "rules coldTime");
             require(fallMultiple > 0, "rules fallMultiple");
+            require(fallTime > 0, "rules fallTime");
             require(askWithin >= 0, "rules askWithin");
             require(closeOnDrainWithin >= 0, "rules closeOnDrainWithin");
         }
--- a/decision/src/main/java/dockrelay/RiqBalancer.java
+++ b/decision/src/main/java/dockrelay/RiqBalancer.java
@@ -111,8 +111,14 @@
     private static final double RATE_AIMS = 5;
     /** A cold backend is sent at most this share of the fall multiple times its part of the good answers. */
     private static final double COLD_PART = 0.7;
-    /** It may save up this many sends: requests come by chance, and one alone turns half of them away. */
-    private static final double COLD_SAVED = 2;
+    /**
+     * A send that was earned waits for its request for this share of the time in which a backend falls, and
+     * is lost then: what all proxies have saved up would come in one burst with a surge, and there are many.
+     * In any such time all of them then send at most (1 + this share) of COLD_PART of the whole, and chance.
+     */
+    private static final double COLD_KEPT = 0.4;
+    /** ...and no more than this many wait beside the next one. */
+    private static final double COLD_SAVED = 1;
     /** It is drawn this much more often than its least warmth tells, as most warm up sooner. */
     private static final double COLD_DRAW = 2;
     /** Who finds no room is told to come back after about this many mean aims, in time for the aim still. */
@@ -143,6 +149,8 @@
     private double provenWins; // not hoped for: copies start once hedges were seen to win
     private double mostOpen = Double.MAX_VALUE; // the limit on own requests in flight
     private double warmWeight = 1, weightOfAll = 1; // of the window
+    private double weightBefore; // and what of it answered until then
+    private long weightBeforeAt;
     private double meanBadness, meanFloor, okRate;
     private long okRateAt, startedAt;
     private final Allowances allowances = new Allowances(); // nothing, unless proxies share budgets
@@ -217,13 +225,22 @@
 
     private static final class Attempt {
         final Node node;
-        final long sentAt;
+        final String zone; // and so on as they were then: an id may come back elsewhere, another process
+        final long cell, startedAt, sentAt;
         boolean ended, neverRan, overdue, settled;
 
         Attempt(Node node, long sentAt) {
             this.node = node;
+            this.zone = node.zone;
+            this.cell = node.cell;
+            this.startedAt = node.startedAt;
             this.sentAt = sentAt;
         }
+
+        /** Whether the process that got it is still the one that the node stands for. */
+        boolean sameLife() {
+            return startedAt == node.startedAt;
+        }
     }
 
     private static final class Pending {
@@ -291,6 +308,7 @@
                 // Proxies start out of step: full buckets at all of them together would push it over.
                 node.coldTokens = uniform();
                 node.coldFilledAt = now;
+                node.connectFailures = 0;
                 node.heard = false; // new, or restarted under the same id: cold, and nothing known holds
                 node.badness = 0;
                 node.out = false;
@@ -327,6 +345,8 @@
             service.ready.clear();
             service.mostWeight = 0;
         }
+        weightBefore = weightAnswered(now);
+        weightBeforeAt = now;
         warmWeight = 0;
         weightOfAll = 0;
         ejected = 0;
@@ -612,13 +632,24 @@
         // Guards against windows that do not fit together while proxies see each other differently: all of
         // the
         // backends' part of the own answers adds up to no more than the whole, whatever the windows.
-        double perSecond = rate(now) * COLD_PART * settings.rules().fallMultiple()
-            * node.weight * warmth(now, node) / (fleetSettled(now) ? warmWeight : warmOfAll);
-        node.coldTokens = Math.min(COLD_SAVED, node.coldTokens + (now - node.coldFilledAt) / 1e6 * perSecond);
+        // And against a rate that more of them answered than there are now passing for what these can do.
+        double answered = Math.max(1, weightAnswered(now) / Math.max(1e-9, warmWeight));
+        double perSecond = rate(now) * COLD_PART * settings.rules().fallMultiple() * node.weight
+            * warmth(now, node) / Math.max(1e-9, answered * (fleetSettled(now) ? warmWeight : warmOfAll));
+        double kept = 1 + Math.min(COLD_SAVED, perSecond * settings.rules().fallTime() / 1e6 * COLD_KEPT);
+        double tokens = node.coldTokens + (now - node.coldFilledAt) / 1e6 * perSecond;
+        // Whole ones are lost: what is on its way to the next stays, or proxies would come to be in step.
+        node.coldTokens = tokens - (tokens < kept ? 0 : Math.floor(tokens - kept) + 1);
         node.coldFilledAt = now;
         return node.coldTokens >= 1;
     }
 
+    /** The weight that answers come from, averaged as their rate is. */
+    private double weightAnswered(long now) {
+        double span = meanAim * RATE_AIMS;
+        return warmWeight + (weightBefore - warmWeight) * Math.exp((weightBeforeAt - now) / span);
+    }
+
     private boolean cold(long now, Node node) {
         return node.startedAt > 0 && now - node.startedAt < settings.rules().coldTime();
     }
@@ -649,8 +680,8 @@
             }
             if (!a.neverRan && p.service.spec.idempotency() == Idempotency.DEDUPLICATED) {
                 boolean same = p.service.spec.dedupScope() == DedupScope.ALL
-                    || p.service.spec.dedupScope() == DedupScope.ZONE && a.node.zone.equals(node.zone)
-                    || a.node.zone.equals(node.zone) && a.node.cell == node.cell;
+                    || p.service.spec.dedupScope() == DedupScope.ZONE && a.zone.equals(node.zone)
+                    || a.zone.equals(node.zone) && a.cell == node.cell;
                 if (!same || now - a.sentAt >= p.service.spec.dedupWindow()) {
                     return false;
                 }
@@ -739,7 +770,7 @@
             if (!a.ended && !a.overdue && now - a.sentAt >= due) {
                 a.overdue = true;
                 a.node.overdue++;
-                mark(now, a.node, true);
+                mark(now, a, true);
             }
         }
         // Guards against a stalled backend: it is seen first in an attempt that is overdue there.
@@ -824,7 +855,7 @@
     private void learn(long now, Pending p, Attempt a, Outcome outcome, long latency) {
         ServiceState service = p.service;
         if (outcome == Outcome.OK) {
-            a.node.heard = true;
+            a.node.heard |= a.sameLife();
             a.node.connectFailures = 0;
             rate(now);
             okRate += 1e6 / (meanAim * RATE_AIMS);
@@ -834,13 +865,13 @@
             }
             strain(latency / (double) service.spec.aim());
             if (!a.overdue) {
-                mark(now, a.node, latency > overdueAfter(p) * 2);
+                mark(now, a, latency > overdueAfter(p) * 2);
             }
         } else if (outcome != Outcome.CANCELLED && outcome != Outcome.NOT_SENT) {
             if (outcome == Outcome.CONNECT_FAILURE) {
                 unreachable(now, a);
             } else if (outcome != Outcome.TIMEOUT || !a.overdue) { // it was marked when it became overdue
-                mark(now, a.node, true);
+                mark(now, a, true);
             }
             if (outcome == Outcome.TIMEOUT || outcome == Outcome.REJECTED) { // full is overload as well
                 shed(service.spec.aim(), service);
@@ -857,7 +888,7 @@
      */
     private void unreachable(long now, Attempt a) {
         Node node = a.node;
-        if (node.connectFailures > 0 && a.sentAt < node.connectFailedAt) {
+        if (!a.sameLife() || node.connectFailures > 0 && a.sentAt < node.connectFailedAt) {
             return; // it left with the one before: the same failure seen twice
         }
         node.connectFailedAt = now;
@@ -922,7 +953,11 @@
     }
 
     /** Moves a backend's badness; a bad run ejects it for a while, a good trial lets it back. */
-    private void mark(long now, Node node, boolean bad) {
+    private void mark(long now, Attempt a, boolean bad) {
+        Node node = a.node;
+        if (!a.sameLife()) {
+            return; // what the process before did says nothing of this one
+        }
         double weight = now - node.markedAt >= meanAim * APART_AIMS ? BAD_WEIGHT_APART : BAD_WEIGHT;
         node.markedAt = now;
         node.badness += weight * ((bad ? 1 : 0) - node.badness);
@@ -991,7 +1026,7 @@
             open -= p.counted ? 1 : 0; // what is left is for the client to read, however long that takes
             p.counted = false;
             settle(p.attempts.get(attempt));
-            p.attempts.get(attempt).node.heard = true;
+            p.attempts.get(attempt).node.heard |= p.attempts.get(attempt).sameLife();
             cancelOthers(p, attempt);
         }
     }
--- a/decision/src/test/java/dockrelay/RulesTest.java
+++ b/decision/src/test/java/dockrelay/RulesTest.java
@@ -130,6 +130,52 @@
         assertFalse(host.failed.isEmpty());
     }
 
+    /** The id comes back in another zone and cell while its attempt is out: the first one's group counts. */
+    @Test
+    void aRepeatStaysInTheGroupThatTheFirstAttemptWentToThen() {
+        Host host = Host.usual().fleet(40);
+        for (int i = 0; i < 200; i++) {
+            for (String name : List.of("keyed-zone", "keyed-cell")) {
+                String id = name + i;
+                host.request(id, name);
+                long first = host.sentTo(id).get(0);
+                host.change(new Balancer.Backend(first, first % 2 == 0 ? "b" : "a", "small", (first + 1) % 4,
+                    Phase.READY, 1, host.now));
+                host.now += Host.MS;
+                for (int a = 0; a < host.sentTo(id).size(); a++) {
+                    host.outcome(id, a, Outcome.ERROR, Host.MS);
+                    for (long backend : host.sentTo(id)) {
+                        int groups = name.equals("keyed-zone") ? 2 : 4;
+                        assertEquals(first % groups, backend % groups, "where the first one is remembered");
+                    }
+                }
+                host.change(Host.backend(first, Phase.READY, 0));
+                host.easy("calm" + id, "safe");
+            }
+        }
+        assertTrue(host.sends.keySet().stream().filter(id -> id.startsWith("keyed"))
+            .anyMatch(id -> host.sentTo(id).size() > 1), "some were repeated");
+    }
+
+    /** What the process before did is not held against the one that has its id now. */
+    @Test
+    void badAnswersOfAnEarlierLifeEjectNobody() {
+        Host host = Host.usual().fleet(1);
+        host.warmUp(60);
+        for (int i = 0; i < 8; i++) {
+            host.request("old" + i, "unsafe");
+        }
+        host.change(Host.backend(1, Phase.READY, host.now));
+        host.pass(4 * Host.SECOND);
+        for (int i = 0; i < 8; i++) {
+            if (!host.sentTo("old" + i).isEmpty()) {
+                host.pass(Host.SECOND / 2);
+                host.outcome("old" + i, 0, Outcome.RESET, Host.SECOND);
+            }
+        }
+        assertTrue(host.balancer.status(host.now).contains("ejections=0;"), host.balancer.status(host.now));
+    }
+
     @Test
     void aKeyedRequestIsNotRepeatedPastTheMemorySpan() {
         Host host = Host.usual().fleet(9);
--- a/settings/src/main/java/dockrelay/settings/SettingsReader.java
+++ b/settings/src/main/java/dockrelay/settings/SettingsReader.java
@@ -50,7 +50,7 @@
                 limits.bool("SecondCopies", false), limits.bool("Probes", false), limits.bool("Peers",
                     false)),
             new Rules(rules.number("ColdShare", 1.0), rules.micros("Cold", 0.0),
-                rules.number("FallMultiple", 1.0),
+                rules.number("FallMultiple", 1.0), Math.max(1, rules.micros("Fall", 1.0)),
                 rules.micros("AskWithin", 10.0), rules.micros("CloseOnDrainWithin", 0.0)),
             prices.number("CrossZone", 0.0));
     }
@@ -85,7 +85,7 @@
         if (value instanceof Map) {
             return new SettingsReader((Map<?, ?>) value, path + key + ".");
         }
-        throw wrong(key);
+        throw wrong(key, "an object");
     }
 
     private List<SettingsReader> each(String key, boolean needed) {
@@ -95,11 +95,11 @@
             return result;
         }
         if (!(value instanceof List)) {
-            throw wrong(key);
+            throw wrong(key, "a list of objects");
         }
         for (Object item : (List<?>) value) {
             if (!(item instanceof Map)) {
-                throw wrong(key);
+                throw wrong(key, "a list of objects");
             }
             result.add(new SettingsReader((Map<?, ?>) item, path + key + "."));
         }
@@ -113,12 +113,12 @@
             return null;
         }
         if (!(value instanceof List)) {
-            throw wrong(key);
+            throw wrong(key, "a list of names");
         }
         Set<String> result = new LinkedHashSet<>();
         for (Object item : (List<?>) value) {
             if (!(item instanceof String)) {
-                throw wrong(key);
+                throw wrong(key, "a list of names");
             }
             result.add((String) item);
         }
@@ -133,7 +133,7 @@
         if (value instanceof String) {
             return (String) value;
         }
-        throw wrong(key);
+        throw wrong(key, "a text");
     }
 
     private double number(String key, Double fallback) {
@@ -144,7 +144,7 @@
         if (value instanceof Number && ((Number) value).doubleValue() >= 0) {
             return ((Number) value).doubleValue();
         }
-        throw wrong(key);
+        throw wrong(key, "a number of at least 0");
     }
 
     private long micros(String key, Double fallbackSeconds) {
@@ -163,10 +163,10 @@
         if (value instanceof Boolean) {
             return (Boolean) value;
         }
-        throw wrong(key);
+        throw wrong(key, "true or false");
     }
 
-    private IllegalArgumentException wrong(String key) {
-        return new IllegalArgumentException("setting missing or not usable: " + path + key);
+    private SettingException wrong(String key, String allowed) {
+        return new SettingException(path + key, map.get(key), allowed);
     }
 }
