Ask for the list within its clock however the calls before have ended

Need: what discovery has counts as told 6 s after it could be reached. Where it is asked, the module's waits doubled up to AskWithin (10 s), each after a lone try; a try that said nothing took 2.5 s more, and so up to 11 s could pass.

Lines: RiqBalancer.followDiscovery (waits), Discovery.ask(1), Discovery.failed.

Change: Discovery follows the list from the module's first word on. Tries begin at most 2 s apart, from start to start; one that says nothing gets another beside it, three at most. Half an object with blanks behind it is a silence; blanks alone are a watch. ListClock adds up silence, return and SIGHUP.

--- a/proxy/src/main/java/dockrelay/proxy/Discovery.java
+++ b/proxy/src/main/java/dockrelay/proxy/Discovery.java
@@ -8,13 +8,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
- * The watch on the list of backends. Where lists are pushed it is opened at once and again whenever it ends;
- * where discovery is asked, the module says when, and is told of a failure. One that falls silent is broken:
- * it is opened anew at once, in both cases, in the time that {@link ListClock} sums up.
+ * The watch on the list of backends. Where lists are pushed it is opened at once, where discovery is asked
+ * when the module first says so; from then on it is opened anew whenever it ends, in the time that {@link
+ * ListClock} sums up, whatever the module waits for: it is only told of failures.
  */
 final class Discovery implements ListWatch.Hearer {
     private static final long FIRST_BACKOFF_MILLIS = 50;
@@ -22,6 +21,8 @@
     private static final long MOST_BACKOFF_MILLIS = 500;
     /** Watches in a row that lag behind for good: versions are counted anew then, not late. */
     private static final int MOST_BEHIND = 5;
+    /** Tries that go on beside each other: one that is slow without end gives its place to the next. */
+    private static final int MOST_BESIDE = 3;
 
     private final Bootstrap bootstrap;
     private final EventLoop loop;
@@ -36,16 +37,21 @@
     private final CountDownLatch listed = new CountDownLatch(1);
     private final List<ListWatch> trying = new ArrayList<>();
     private ListWatch watch; // the one that has spoken; null while there is none
-    private int triesLeft, round, behind;
-    private boolean closed;
+    private ListWatch heard; // whose first object has come
+    private long triedAt;
+    private int round, behind; // a timer of an earlier round means nothing
+    private boolean following, closed;
 
     Discovery(Bootstrap template, EventLoop loop, Config config, RequestTable table, Operators operators) {
         this.operators = operators;
         this.listing = new Listing(operators);
-        this.backoff = new Backoff(FIRST_BACKOFF_MILLIS, MOST_BACKOFF_MILLIS, config.seed());
+        this.asked = config.settings().askedDiscovery();
+        long within = TimeUnit.MICROSECONDS.toMillis(config.settings().rules().askWithin());
+        long most = within <= 0 ? ListClock.MOST_APART : Math.min(within, ListClock.MOST_APART);
+        this.backoff = asked ? new Backoff(Math.min(most, ListClock.FIRST_APART), most, config.seed())
+            : new Backoff(FIRST_BACKOFF_MILLIS, MOST_BACKOFF_MILLIS, config.seed());
         this.loop = loop;
         this.address = config.discovery();
-        this.asked = config.settings().askedDiscovery();
         this.table = table;
         this.bootstrap = template;
     }
@@ -54,7 +60,9 @@
     void start(Map<?, ?> cached) {
         version = (long) Config.number(cached, "version", -1);
         tell(ListScope.CACHED, listing.take(Config.list(cached, "servers"), true));
-        if (!asked) {
+        if (asked) { // the module asks sooner than that, unless its settings let it wait longer
+            loop.schedule(this::subscribe, ListClock.MOST_APART, TimeUnit.MILLISECONDS);
+        } else {
             subscribe();
         }
     }
@@ -87,9 +95,11 @@
         anyReady = listing.anyReady();
     }
 
-    /** Opens a watch from the version at hand, in place of the one there is. */
+    /** Follows the list from the version at hand, from now on; no more is needed where that is so already. */
     void subscribe() {
-        ask(1);
+        if (!following) {
+            renew();
+        }
     }
 
     /** Goes on at another address, and asks there for the whole list: its versions may be counted anew. */
@@ -99,7 +109,7 @@
             address = to;
             version = -1;
             backoff.reset();
-            ask(ListClock.TRIES);
+            renew();
         }
     }
 
@@ -112,27 +122,29 @@
         }
     }
 
-    private void ask(int tries) {
+    /** Asks at once, in place of whatever there is. */
+    private void renew() {
         if (!closed) {
+            following = true;
             dropAll();
-            round++;
-            triesLeft = tries;
             attempt();
         }
     }
 
     private void attempt() {
-        triesLeft--;
-        trying.add(new ListWatch(bootstrap, address, version, this));
-        if (triesLeft > 0) {
-            attemptWithin(ListClock.BESIDE);
+        triedAt = System.nanoTime();
+        if (trying.size() >= MOST_BESIDE) {
+            trying.remove(0).close();
         }
+        trying.add(new ListWatch(bootstrap, address, version, this));
+        attemptIn(ListClock.BESIDE);
     }
 
-    private void attemptWithin(long millis) {
-        int mine = round;
+    /** The next try, unless one speaks before. */
+    private void attemptIn(long millis) {
+        int mine = ++round;
         loop.schedule(() -> {
-            if (mine == round && triesLeft > 0 && !closed) {
+            if (mine == round && !closed) {
                 attempt();
             }
         }, millis, TimeUnit.MILLISECONDS);
@@ -140,35 +152,21 @@
 
     @Override
     public void over(ListWatch ended, String why, boolean silent) {
-        boolean lone = trying.remove(ended) && trying.isEmpty();
-        if (closed || !lone && ended != watch) {
+        boolean tried = trying.remove(ended);
+        if (closed || !tried && ended != watch || tried && !trying.isEmpty()) {
             return;
         }
         Log.line("discovery", "the watch ended: " + why);
-        if (ended == watch) {
-            watch = null;
-            if (silent) {
-                ask(ListClock.TRIES);
-                return;
-            }
-        } else if (triesLeft > 0) {
-            attemptWithin(ThreadLocalRandom.current().nextInt(ListClock.AGAIN));
-            return;
+        boolean wasWatch = ended == watch;
+        watch = wasWatch ? null : watch;
+        if (wasWatch && silent) {
+            attempt(); // late enough as it is
+        } else {
+            long since = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - triedAt);
+            attemptIn(wasWatch ? backoff.next() : ListClock.after(since, backoff.next()));
         }
-        failed();
-    }
-
-    private void failed() {
-        round++;
         if (asked) {
             table.members(ListScope.FAILED, List.of());
-        } else {
-            int mine = round;
-            loop.schedule(() -> {
-                if (mine == round) {
-                    subscribe();
-                }
-            }, backoff.next(), TimeUnit.MILLISECONDS);
         }
     }
 
@@ -179,29 +177,44 @@
         loop.schedule(() -> {
             if (mine == round && behind > 0 && !closed) {
                 version = behind < MOST_BEHIND ? version : -1;
-                ask(ListClock.TRIES);
+                renew();
             }
         }, ListClock.TOLD, TimeUnit.MILLISECONDS);
     }
 
+    /** The first that speaks is the watch, and those beside it are not needed any more. */
+    private boolean takes(ListWatch by) {
+        if (by == watch) {
+            return false;
+        }
+        trying.remove(by);
+        trying.forEach(ListWatch::close);
+        trying.clear();
+        watch = by;
+        round++;
+        return true;
+    }
+
+    @Override
+    public void alive(ListWatch by) {
+        if (takes(by)) {
+            Log.line("discovery", "nothing new since version " + version);
+        }
+    }
+
     @Override
     public void said(ListWatch by, Map<?, ?> update) {
         long told = (long) Config.number(update, "version", -1);
         boolean full = Boolean.TRUE.equals(update.get("full"));
-        if (by != watch) { // the first that speaks is the watch, and those beside it are not needed any more
-            trying.remove(by);
-            trying.forEach(ListWatch::close);
-            trying.clear();
-            watch = by;
-            triesLeft = 0;
-            round++;
-            if (told < version) {
+        takes(by);
+        boolean first = by != heard;
+        heard = by;
+        if (told < version) { // an older word: what is newer stands
+            if (first) {
                 Log.line("discovery", "version " + told + " is older than " + version + ", which stands");
                 lookAgain();
             }
-        }
-        if (told < version) {
-            return; // an older word: what is newer stands
+            return;
         }
         behind = 0;
         backoff.reset();
--- a/proxy/src/main/java/dockrelay/proxy/ListClock.java
+++ b/proxy/src/main/java/dockrelay/proxy/ListClock.java
@@ -1,13 +1,18 @@
 package dockrelay.proxy;
 
 /**
- * How soon a watch on the list that has fallen silent is asked for anew. What discovery had to tell counts as
- * told 6 s after the silence began, whether it arrived or not: all that can lie between has to fit into that.
- * Times are in milliseconds; docs/standing.md has the sum in words.
+ * How soon the list is asked for anew, in either manner of discovery. What discovery had to tell counts as
+ * told 6 s after it had it and could be reached, whether it arrived or not: all that can lie between has to
+ * fit into that. Times are in milliseconds; docs/standing.md has the sums in words.
  */
 final class ListClock {
-    /** What a silent watch missed counts as told so long after it fell silent (the standing test's page). */
+    /**
+     * What discovery has and could tell counts as told so long after (the pages of protocol and standing
+     * test).
+     */
     static final int TOLD = 6_000;
+    /** After SIGHUP it counts this long after the signal. */
+    static final int TOLD_MOVED = 4_000;
     /** As long as nothing changes an empty line comes this often (the protocol's page). */
     static final int HEARTBEAT = 2_000;
     /** The line may be late, and so may this process be, by so much. */
@@ -20,21 +25,48 @@
     static final int CONNECT = LATE_CONNECTION + 200;
     /** A try that has said nothing by then gets another one beside it; the first that speaks is the watch. */
     static final int BESIDE = 1_500;
-    /** A try that failed is followed by the next one within this, by chance. */
-    static final int AGAIN = 100;
-    /** So many tries follow a silence or a move before the failure is told. */
-    static final int TRIES = 2;
+    /**
+     * Tries begin no further apart than this while none has spoken, however many failed, were refused or
+     * given up: it is counted from the start of one to the start of the next.
+     */
+    static final int MOST_APART = 2_000;
+    /**
+     * The first wait after a failure, by chance anywhere below it: proxies fail together and must not
+     * call so.
+     */
+    static final int FIRST_APART = 500;
 
     private ListClock() {
     }
 
-    /** From the last byte to the moment at which the last try's connection is up, all going wrong once. */
-    static int asked() {
-        return SILENT + (TRIES - 1) * (BESIDE + AGAIN) + LATE_CONNECTION;
+    /**
+     * How long to wait after a failure, so long after the start of the failed try, by a wait drawn by
+     * chance.
+     */
+    static long after(long sinceStart, long drawn) {
+        return Math.max(0, Math.min(drawn, MOST_APART) - sinceStart);
     }
 
-    /** What is left of it for the call itself. */
+    /** From a watch's last byte to a connection that is up, one try having said nothing. */
+    static int silenced() {
+        return SILENT + BESIDE + LATE_CONNECTION;
+    }
+
+    /**
+     * From the moment at which discovery can be reached again: a wait, a try that says nothing, a late
+     * one.
+     */
+    static int reached() {
+        return MOST_APART + BESIDE + LATE_CONNECTION;
+    }
+
+    /** From SIGHUP: a try that says nothing, a late one. */
+    static int moved() {
+        return BESIDE + LATE_CONNECTION;
+    }
+
+    /** The least that these leave for the call itself. */
     static int call() {
-        return TOLD - asked();
+        return Math.min(TOLD - Math.max(silenced(), reached()), TOLD_MOVED - moved());
     }
 }
--- a/proxy/src/main/java/dockrelay/proxy/ListWatch.java
+++ b/proxy/src/main/java/dockrelay/proxy/ListWatch.java
@@ -34,10 +34,14 @@
 /** One watch on the list: a connection, what is asked on it, and its answer taken apart into objects. */
 final class ListWatch {
     private static final int LONGEST_OBJECT = 4 << 20;
+    private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(ListClock.SILENT);
     private static final JsonFactory JSON = new JsonFactory();
 
     /** Hears what a watch says, on the event loop. */
     interface Hearer {
+        /** Between two objects: nothing has changed, as far as discovery knows. */
+        void alive(ListWatch watch);
+
         /** One object, however it is laid out. */
         void said(ListWatch watch, Map<?, ?> update);
 
@@ -47,8 +51,9 @@
 
     private final Hearer hearer;
     private final Channel channel;
+    private long withinSince;
     private String why = "connection closed";
-    private boolean silent, over;
+    private boolean silent, over, within; // an object of which more is to come
 
     ListWatch(Bootstrap template, InetSocketAddress address, long version, Hearer hearer) {
         this.hearer = hearer;
@@ -100,7 +105,20 @@
                 return;
             }
             if (part instanceof HttpContent content && !over) {
+                boolean some = content.content().isReadable(), blank = isBlank(content.content());
+                if (some && !blank && !within) {
+                    within = true;
+                    withinSince = System.nanoTime();
+                }
                 context.fireChannelRead(content.content().retain());
+                if (some && blank && !within && !over) {
+                    hearer.alive(ListWatch.this);
+                }
+                if (within && System.nanoTime() - withinSince > SILENT_NANOS) {
+                    silent = true; // it may send blanks for ever, and they count for nothing in there
+                    why = "half an object for " + ListClock.SILENT + " ms";
+                    context.close();
+                }
                 if (part instanceof LastHttpContent) {
                     context.close();
                 }
@@ -108,9 +126,14 @@
         }
     }
 
+    private static boolean isBlank(ByteBuf bytes) {
+        return bytes.forEachByte(next -> Character.isWhitespace(next)) < 0;
+    }
+
     private final class Objects extends SimpleChannelInboundHandler<ByteBuf> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf object) throws IOException {
+            within = false;
             if (over) {
                 return;
             }
--- a/proxy/src/test/java/dockrelay/proxy/Fakes.java
+++ b/proxy/src/test/java/dockrelay/proxy/Fakes.java
@@ -1,14 +1,18 @@
 package dockrelay.proxy;
 
+import io.netty.channel.EventLoop;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
@@ -58,7 +62,7 @@
             + "\"MayCancel\":true,\"SecondCopies\":true,\"ConnectTimeout\":0.5,\"ConnIdle\":15.0}}}";
     }
 
-    private static Config parsed(String text) {
+    static Config parsed(String text) {
         try {
             return Config.parse(text);
         } catch (IOException e) {
@@ -130,6 +134,75 @@
         }
     }
 
+    /** Something that may fail. */
+    interface Step {
+        void run() throws Exception;
+    }
+
+    /** Holds an event loop still after this, so that what comes in the step is found there all at once. */
+    static void whileHeld(EventLoop loop, Runnable first, Step step) throws Exception {
+        CountDownLatch held = new CountDownLatch(1), released = new CountDownLatch(1);
+        loop.execute(() -> {
+            first.run();
+            held.countDown();
+            try {
+                released.await();
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        held.await();
+        try {
+            step.run();
+        } finally {
+            released.countDown();
+        }
+    }
+
+    /** Listens, but with a full queue: what knocks hears nothing, as of a machine that has vanished. */
+    static final class Deaf implements AutoCloseable {
+        private static final int KNOCK_MILLIS = 300;
+        private final ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        private final List<Socket> filling = new ArrayList<>();
+
+        Deaf() throws IOException {
+            for (int dropped = 0; dropped < 2;) {
+                Socket next = new Socket();
+                try {
+                    next.connect(socket.getLocalSocketAddress(), KNOCK_MILLIS);
+                    filling.add(next);
+                } catch (SocketTimeoutException e) {
+                    dropped++;
+                }
+            }
+        }
+
+        int port() {
+            return socket.getLocalPort();
+        }
+
+        /** Takes what fills the queue, and then the next connection that comes up. */
+        Socket open() throws IOException {
+            socket.setSoTimeout(PATIENCE_MILLIS);
+            while (true) {
+                Socket next = socket.accept();
+                if (filling.stream().noneMatch(other -> other.getLocalPort() == next.getPort())) {
+                    next.setSoTimeout(PATIENCE_MILLIS);
+                    return next;
+                }
+                next.close();
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+            for (Socket next : filling) {
+                next.close();
+            }
+        }
+    }
+
     /** Listens on a port of its own and serves each connection on a thread. */
     abstract static class Listener implements AutoCloseable {
         final ServerSocket socket;
@@ -223,7 +296,7 @@
         }
     }
 
-    static final class DiscoveryFake extends Listener {
+    static class DiscoveryFake extends Listener {
         final List<String> asked = new CopyOnWriteArrayList<>();
         volatile boolean refuse;
         private volatile String first = "";
--- /dev/null
+++ b/proxy/src/test/java/dockrelay/proxy/ListClockTest.java
@@ -0,0 +1,58 @@
+package dockrelay.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** All that may lie between discovery's return and the list fits into the time in which it counts as told. */
+class ListClockTest {
+    /** How a call ends while discovery is away, and how long that takes. */
+    private enum Away {
+        REFUSED(1), TURNED_AWAY(1_000), NO_CONNECTION(ListClock.CONNECT), NOTHING_SAID(Integer.MAX_VALUE);
+
+        final int millis;
+
+        Away(int millis) {
+            this.millis = millis;
+        }
+    }
+
+    /**
+     * Tries as Discovery makes them: the next begins BESIDE after one that has said nothing, or after a drawn
+     * wait where one has failed. Returns when the first one begins at or after this time.
+     */
+    private static long firstTryFrom(long back, Away away, SplittableRandom random) {
+        Backoff backoff = new Backoff(ListClock.FIRST_APART, ListClock.MOST_APART, random.nextLong());
+        long begins = 0;
+        while (begins < back) {
+            long next = begins + ListClock.BESIDE;
+            if (away.millis < ListClock.BESIDE) {
+                next = begins + away.millis + ListClock.after(away.millis, backoff.next());
+            }
+            begins = Math.max(begins + 1, next);
+        }
+        return begins;
+    }
+
+    @Test
+    void afterAnOutageTheListIsReadInTimeHoweverTheCallsBeforeHaveEnded() {
+        SplittableRandom random = new SplittableRandom(5);
+        for (Away away : Away.values()) {
+            for (int i = 0; i < 20_000; i++) {
+                long back = 1 + random.nextLong(30_000);
+                long begins = firstTryFrom(back, away, random);
+                // That try says nothing, the one beside it has a connection that comes up late.
+                long asked = begins + ListClock.BESIDE + ListClock.LATE_CONNECTION;
+                assertTrue(asked + ListClock.call() - back <= ListClock.TOLD,
+                    away + ": asked " + (asked - back) + " ms after discovery was back");
+            }
+        }
+    }
+
+    @Test
+    void eachOfTheSumsLeavesTimeForTheCall() {
+        assertTrue(ListClock.call() >= 900, ListClock.call() + " ms");
+        assertTrue(ListClock.MOST_APART >= ListClock.BESIDE, "a slow call is not given up for a wait");
+    }
+}
--- a/proxy/src/test/java/dockrelay/proxy/ListWatchTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/ListWatchTest.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -26,7 +27,7 @@
     private static final String ASKED = "\"Discovery\":\"ask\",\"Obligations\":{\"AskWithin\":0.2},";
 
     /** How a watch goes wrong once it has told the first list. */
-    private enum Fault { SILENT, HALF_DEAD, CUT_SHORT, ENDS_IN_THE_MIDDLE }
+    private enum Fault { SILENT, HALF_DEAD, CUT_SHORT, BLANKS_IN_THE_MIDDLE, ENDS_IN_THE_MIDDLE }
 
     /** Each watch does what its number says; the first one goes wrong. */
     private static final class Odd extends Fakes.Listener {
@@ -50,12 +51,17 @@
             OutputStream out = connection.getOutputStream();
             if (number == 0) {
                 out.write((HEAD + chunk(first)).getBytes(StandardCharsets.UTF_8));
-                if (fault == Fault.CUT_SHORT || fault == Fault.ENDS_IN_THE_MIDDLE) {
+                if (fault == Fault.CUT_SHORT || fault == Fault.ENDS_IN_THE_MIDDLE
+                    || fault == Fault.BLANKS_IN_THE_MIDDLE) {
                     out.write(chunk(then.substring(0, then.length() / 2)).getBytes(StandardCharsets.UTF_8));
                 }
                 if (fault == Fault.ENDS_IN_THE_MIDDLE) {
                     return;
                 }
+                while (fault == Fault.BLANKS_IN_THE_MIDDLE) { // until the other side has enough of it
+                    out.write(chunk("\n").getBytes(StandardCharsets.UTF_8));
+                    pause();
+                }
             } else if (number > 1 || fault != Fault.HALF_DEAD) { // its host takes connections and no more
                 out.write((HEAD + chunk(then)).getBytes(StandardCharsets.UTF_8));
             }
@@ -64,6 +70,14 @@
             }
         }
 
+        private static void pause() {
+            try {
+                Thread.sleep(50);
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
         static String chunk(String text) {
             return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
         }
@@ -140,6 +154,62 @@
         }
     }
 
+    /** Where a try says nothing another one begins beside it, and once one speaks there is one alone. */
+    @Test
+    void whereDiscoveryIsAskedATryThatSaysNothingDoesNotHoldUpTheNext() throws Exception {
+        CountDownLatch speak = new CountDownLatch(1);
+        DiscoveryFake discovery = new DiscoveryFake() {
+            @Override
+            void serve(Socket connection) throws IOException {
+                try {
+                    speak.await();
+                } catch (InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+                super.serve(connection);
+            }
+        };
+        try (discovery) {
+            discovery.first(list(9, two));
+            proxy = new Proxy(Fakes.config(0, discovery.port(), 1024, "",
+                "\"Discovery\":\"ask\",\"Obligations\":{\"AskWithin\":10.0},"));
+            Fakes.await("two tries at once", () -> discovery.open.size() == 2);
+            speak.countDown();
+            awaitServedBy("two");
+            Fakes.await("one watch", () -> discovery.open.size() == 1);
+        }
+    }
+
+    /** Blank lines alone say that nothing has changed: that is a watch, and no reason for another one. */
+    @Test
+    void aWatchWithNothingNewIsAWatch() throws Exception {
+        DiscoveryFake discovery = new DiscoveryFake();
+        try (discovery) {
+            discovery.first(""); // and blank lines from then on, until it is told of a change
+            Thread beats = new Thread(() -> {
+                while (!Thread.currentThread().isInterrupted()) {
+                    try {
+                        Thread.sleep(100);
+                        discovery.push("");
+                    } catch (InterruptedException | IOException e) {
+                        return;
+                    }
+                }
+            });
+            proxy = new Proxy(Fakes.config(0, discovery.port(), 1024,
+                Fakes.entry("s-1", one.port(), "active"), ASKED));
+            Fakes.await("a watch", () -> discovery.asked.size() == 1);
+            beats.start();
+            awaitServedBy("one");
+            long since = System.nanoTime();
+            long longer = (ListClock.SILENT + ListClock.BESIDE) * 1_000_000L;
+            Fakes.await("more than a silence has passed", () -> System.nanoTime() - since > longer);
+            assertEquals(1, discovery.asked.size());
+            beats.interrupt();
+            beats.join();
+        }
+    }
+
     /** The known list names one, the agent's another one: the first request has to go to the latter. */
     @ParameterizedTest
     @ValueSource(strings = {"", "\"Discovery\":\"push\","})
