--- a/proxy/src/main/java/dockrelay/proxy/BackendPool.java
+++ b/proxy/src/main/java/dockrelay/proxy/BackendPool.java
@@ -50,6 +50,16 @@
     /** A kept connection is dropped this share of its idle time before the backend may drop it. */
     private static final double IDLE_SHARE = 0.85;
     private static final long SWEEP_MICROS = 500_000;
+    /**
+     * A backend may answer twice, the second time some milliseconds later: a connection is used again once it
+     * has been quiet for so long after its answer, as nothing would tell such an answer from the next one's.
+     */
+    static final long SETTLED_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    /** One that was caught at that is trusted less, for so long. */
+    private static final long SETTLED_STRAY_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+    private static final long STRAY_NANOS = TimeUnit.SECONDS.toNanos(30);
+    /** A long answer is not longer than that. */
+    private static final long MOST_BODY = 32 << 20;
     /** An answer of unknown length is held for this part of its time at most, to see whether it is short. */
     private static final long HELD_PART = 8;
     /** Peers take seconds to read or write, and no longer: what stands still keeps its place from others. */
@@ -62,7 +72,7 @@
     private final Buffers buffers;
     private final int fullMost;
     private int most;
-    private final long idleNanos;
+    private final long idleNanos, settledNanos;
     private final Map<Long, Peer> peers = new HashMap<>();
     private int connections;
 
@@ -73,17 +83,29 @@
             body.drop();
         }
 
+        /** Asked right before its first byte goes out, which a late connection may have put off. */
+        default boolean mayBegin() {
+            return true;
+        }
+
         void ended(Outcome outcome, LoadReport report, FullHttpResponse response);
     }
 
     private static final class Peer {
         SocketAddress address;
-        boolean ready;
+        boolean ready, stray;
+        long strayAt;
         final Deque<Connection> idle = new ArrayDeque<>(); // the last one was used last
     }
 
     BackendPool(Bootstrap template, EventLoop loop, int most, long connectTimeout, long connectionIdle,
                 Counters counters, Buffers buffers) {
+        this(template, loop, most, connectTimeout, connectionIdle, counters, buffers, SETTLED_NANOS);
+    }
+
+    BackendPool(Bootstrap template, EventLoop loop, int most, long connectTimeout, long connectionIdle,
+                Counters counters, Buffers buffers, long settledNanos) {
+        this.settledNanos = settledNanos;
         this.buffers = buffers;
         this.loop = loop;
         this.counters = counters;
@@ -186,13 +208,15 @@
 
     private Connection takeIdle(Peer peer) {
         Iterator<Connection> kept = peer.idle.descendingIterator();
+        long now = System.nanoTime();
+        long settled = peer.stray && now - peer.strayAt < STRAY_NANOS ? SETTLED_STRAY_NANOS : settledNanos;
         while (kept.hasNext()) {
             Connection last = kept.next();
-            if (last.reading) {
-                continue; // what else it read may belong to the answer it just gave
+            if (last.reading || now - last.idleSince < Math.min(settled, idleNanos / 2)) {
+                continue; // what else comes on it may belong to the answer it just gave
             }
             kept.remove();
-            if (last.channel.isActive() && System.nanoTime() - last.idleSince < idleNanos) {
+            if (last.channel.isActive() && now - last.idleSince < idleNanos) {
                 return last;
             }
             last.channel.close();
@@ -267,7 +291,8 @@
         private Body answer;
         private Future<?> timer;
         private long passed;
-        private boolean written, ended;
+        private boolean begun, written, ended, neverRan;
+        private long begunAt;
 
         private Exchange(Peer peer, HttpRequest request, Body body, long timeout, Listener listener) {
             this.peer = peer;
@@ -290,7 +315,13 @@
 
         private void writeTo(Connection connection) {
             channel = connection.channel;
+            if (!listener.mayBegin()) {
+                end(Outcome.NOT_SENT, null);
+                return;
+            }
             connection.current = this;
+            begun = true;
+            begunAt = System.nanoTime();
             if (body == null) {
                 channel.writeAndFlush(ReferenceCountUtil.retain(request)).addListener(this::written);
                 return;
@@ -322,7 +353,14 @@
             ChannelFuture sent = channel.writeAndFlush(part);
             if (last) {
                 sent.addListener(this::written);
-            } else if (!channel.isWritable()) {
+                return;
+            }
+            sent.addListener(done -> {
+                if (!done.isSuccess()) {
+                    written(done); // a reset, which must not pass for the end of an answer without a length
+                }
+            });
+            if (!channel.isWritable()) {
                 body.flow(false);
             }
         }
@@ -346,6 +384,13 @@
             }, STILL_SECONDS, TimeUnit.SECONDS);
         }
 
+        /** Whether its answer is a long one: said to be, or seen to be. */
+        boolean isLong() {
+            Connection connection = channel == null ? null : channel.pipeline().get(Connection.class);
+            return connection != null && connection.current == this && (connection.passedBytes
+                > Buffers.MOST_WHOLE || HttpUtil.getContentLength(connection.head, 0L) > Buffers.MOST_WHOLE);
+        }
+
         private void begin(HttpResponse head, Body from) {
             answer = from;
             counters.add(Count.STREAMED);
@@ -353,10 +398,37 @@
             listener.began(head, from);
         }
 
-        private void timeOut() {
+        /** Its time is over, whatever has come of an answer. */
+        void timeOut() {
             end(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILURE, null);
         }
 
+        /** Whether any byte of it has gone out. */
+        boolean hasBegun() {
+            return begun;
+        }
+
+        /** How long ago that was, in microseconds. */
+        long sinceBegun() {
+            return TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - begunAt);
+        }
+
+        /** Whether the backend may have run it, or may yet. */
+        boolean mayHaveRun() {
+            return begun && !neverRan;
+        }
+
+        boolean hasEnded() {
+            return ended;
+        }
+
+        /** Calls it off unless a byte of it has gone out. */
+        void cancelUnlessBegun() {
+            if (!begun && !ended) {
+                cancel();
+            }
+        }
+
         /** Stops waiting and closes the connection, which calls the request off. */
         void cancel() {
             end(Outcome.CANCELLED, null);
@@ -376,6 +448,7 @@
 
         private void over(Outcome outcome, LoadReport report, FullHttpResponse response) {
             ended = true;
+            neverRan = outcome.neverRan();
             if (outcome != Outcome.OK) {
                 counters.add(Count.valueOf(outcome.name()));
             }
@@ -404,7 +477,7 @@
         private ByteBuf gathered;
         private Body body;
         private Buffers.Reading intake;
-        private long idleSince;
+        private long idleSince, passedBytes;
         private boolean reading;
 
         Connection() {
@@ -420,6 +493,10 @@
         protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
             Exchange exchange = current;
             if (exchange == null || exchange.ended || part.decoderResult().isFailure()) {
+                if (exchange == null && peer != null) {
+                    peer.stray = true;
+                    peer.strayAt = System.nanoTime();
+                }
                 if (channel.isOpen()) {
                     unreadable(exchange == null ? "an answer to nothing" : part.decoderResult().toString());
                 }
@@ -461,6 +538,7 @@
         /** From here on the answer is passed on as it comes. */
         private void stream() {
             body = new Body(this, Buffers.MOST_WHOLE);
+            passedBytes = gathered == null ? 0 : gathered.readableBytes();
             if (gathered != null) {
                 body.add(new DefaultHttpContent(gathered));
                 gathered = null;
@@ -477,8 +555,13 @@
                 head = last ? null : head; // the final answer is yet to come
             } else if (body != null) {
                 Body whole = body;
+                passedBytes += content.content().readableBytes();
                 if (last) {
                     finish(context, whole, content);
+                } else if (passedBytes > MOST_BODY) {
+                    content.release();
+                    unreadable("an answer without end");
+                    broken(context);
                 } else {
                     whole.add(content);
                     reading().read();
--- a/proxy/src/main/java/dockrelay/proxy/ClientSide.java
+++ b/proxy/src/main/java/dockrelay/proxy/ClientSide.java
@@ -15,6 +15,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -61,6 +62,11 @@
     private static final double CROWDED = 0.75;
     /** A connection with no request open may be closed after 2 s. */
     private static final long REST_NANOS = TimeUnit.MILLISECONDS.toNanos(RequestTimeout.MILLIS);
+    /**
+     * A connection at rest that is told to end, and whose peer says nothing to that, is closed after
+     * this.
+     */
+    private static final long LINGER_REST_MILLIS = 100;
     /** ...and after one that came before its request was whole: what is on its way is read first. */
     private static final long LINGER_UPLOAD_MILLIS = 2_500;
     private static final long MOST_BODY = 32 << 20;
@@ -69,6 +75,14 @@
      * slow client, with 2 s for a head, is heard of in between; one that holds a place for nothing is not.
      */
     private static final long QUIET_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+    /** Short of places, this part of them is freed at once: each takes a moment to end in good order. */
+    private static final int EVICTED_PART = 16;
+    /** What comes behind a request may wait up to this; the decoder takes 128 requests at most. */
+    private static final int MOST_EARLY = 32 * 1024;
+    /** What one more part of a pipelined request takes beside its bytes. */
+    private static final int EARLY_PART = 256;
+    /** Looks at a connection that has something to read; one more than most requests need. */
+    private static final int READS = 4;
     private static final int LONGEST_ID = 128;
     private static final Pattern SECONDS = Pattern.compile("\\d{1,4}(\\.\\d{0,9})?|\\.\\d{1,9}");
     private static final Pattern WHOLE_MICROS = Pattern.compile("\\d{1,12}(\\.\\d{0,9})?");
@@ -89,6 +103,7 @@
     private Channel listener;
     private boolean closing, evicting;
     private long lastAnswer;
+    private int pauses; // in accepting, for want of room
     private Runnable whenEmpty;
 
     ClientSide(RequestTable table, Iterable<ServiceClass> classes, int most, BooleanSupplier ready,
@@ -108,7 +123,9 @@
     /** Listens at an address; with none, the bootstrap's channel is a listening socket as it comes. */
     ChannelFuture listen(ServerBootstrap bootstrap, SocketAddress address) {
         bootstrap.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Buffers.WATER_MARKS)
-            .childOption(ChannelOption.RECVBUF_ALLOCATOR, Buffers.reads())
+            // Read on until nothing is there: an end behind a request is seen before that is sent on.
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR,
+                Buffers.reads().respectMaybeMoreData(false).maxMessagesPerRead(READS))
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
@@ -159,26 +176,37 @@
         }
     }
 
-    /** Stops accepting. */
-    void close() {
-        listener.close();
+    /**
+     * Stops accepting once there was room for so long that all that had come is accepted: closing the
+     * listener would reset what is in its backlog, requests and all.
+     */
+    void closeOnceAccepted(long lookMillis, Runnable then) {
+        int before = pauses;
+        listener.eventLoop().schedule(() -> {
+            if (pauses == before && listener.config().isAutoRead()) {
+                listener.close();
+                then.run();
+            } else {
+                closeOnceAccepted(lookMillis, then);
+            }
+        }, lookMillis, TimeUnit.MILLISECONDS);
     }
 
-    /** Closes what has rested for so long that it may be closed: on the others a request may be coming. */
+    /** Ends what has rested for so long that it may be ended: on the others a request may be coming. */
     void closeRested() {
         long now = System.nanoTime();
         for (Connection connection : Set.copyOf(connections)) {
             if (connection.rests() && now - connection.restingSince >= REST_NANOS) {
-                connection.channel.close();
+                connection.retire(false);
             }
         }
     }
 
-    /** Closes what has no request in hand or coming in. */
+    /** Ends what has no request in hand or coming in. */
     void closeResting() {
         for (Connection connection : Set.copyOf(connections)) {
             if (connection.rests()) {
-                connection.channel.close();
+                connection.retire(true);
             }
         }
     }
@@ -199,6 +227,7 @@
         }
         if (listener.config().isAutoRead() != room) {
             listener.config().setAutoRead(room);
+            pauses += room ? 0 : 1;
         }
         if (!room && !evicting) {
             evicting = true;
@@ -212,8 +241,17 @@
             return;
         }
         if (!idle.isEmpty()) {
-            counters.add(Count.EVICTED);
-            idle.iterator().next().channel.close();
+            long now = System.nanoTime();
+            int left = Math.max(1, most / EVICTED_PART);
+            boolean first = true;
+            for (Connection longest : List.copyOf(idle)) {
+                if (left-- == 0 || !first && now - longest.restingSince < REST_NANOS) {
+                    return;
+                }
+                first = false;
+                counters.add(Count.EVICTED);
+                longest.retire(false);
+            }
             return;
         }
         Connection quietest = null;
@@ -229,7 +267,7 @@
         long left = quietest.timeout.heardAt() + QUIET_NANOS - System.nanoTime();
         if (left <= 0) {
             counters.add(Count.EVICTED);
-            quietest.channel.close();
+            quietest.retire(true);
         } else {
             evicting = true;
             listener.eventLoop().schedule(this::evict, left, TimeUnit.NANOSECONDS);
@@ -247,7 +285,7 @@
             return false;
         }
         counters.add(Count.EVICTED);
-        longest.channel.close();
+        longest.retire(false);
         return true;
     }
 
@@ -256,6 +294,10 @@
         return connections.size() >= most * CROWDED;
     }
 
+    /** A request with its message. */
+    private record Whole(Request request, FullHttpRequest message) {
+    }
+
     /** One client connection: one request in hand, pipelined ones wait. */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject>
         implements RequestTable.Reply, Body.Source, Body.Sink {
@@ -269,8 +311,10 @@
         private Buffers.Reading reading; // of the upload
         private Body answer; // that is passed on as it comes
         private String inHand;
+        private Whole whole; // not handed on before all that has come is read
         private long restingSince;
-        private boolean keep, ending, last, old;
+        private int earlyBytes;
+        private boolean keep, ending, last, old, retiring;
 
         Connection(RequestTimeout timeout) {
             super(false);
@@ -307,8 +351,7 @@
             connections.remove(this);
             idle.remove(this);
             makeRoom();
-            early.forEach(ReferenceCountUtil::release);
-            early.clear();
+            releaseEarly();
             drop();
             if (answer != null) {
                 answer.release();
@@ -319,6 +362,11 @@
 
         /** Ends the request that is in hand or coming in, without an answer. */
         private void drop() {
+            if (whole != null) {
+                whole.message.release();
+                whole = null;
+                counters.add(Count.GONE);
+            }
             if (gathered != null) {
                 gathered.release();
                 gathered = null;
@@ -335,11 +383,17 @@
 
         @Override
         public void userEventTriggered(ChannelHandlerContext context, Object event) {
-            if (event instanceof RequestTimeout.Late late && !ending && (inHand == null || upload != null)) {
-                counters.add(Count.LATE);
-                if (late == RequestTimeout.Late.NOT_WHOLE && answer == null) {
+            if (event instanceof RequestTimeout.Late late && !ending) {
+                if (inHand != null && upload == null) {
+                    timeout.again(); // what came behind the request in hand has its time after that
+                } else if (late == RequestTimeout.Late.NOT_WHOLE && answer == null) {
+                    counters.add(Count.LATE);
                     end(HttpResponseStatus.REQUEST_TIMEOUT);
+                } else if (answer == null) {
+                    counters.add(Count.LATE);
+                    retire(false); // its first request may be on its way just now
                 } else {
+                    counters.add(Count.LATE);
                     context.close();
                 }
             }
@@ -351,13 +405,83 @@
             if (ending) {
                 discard(part);
             } else if (inHand != null && upload == null) {
-                early.add(part);
-                channel.config().setAutoRead(false); // one at a time: the rest stays in the socket
+                wait(part);
             } else {
                 read(part);
             }
         }
 
+        /**
+         * One request at a time: what comes behind it waits. It is read all the same, as a client that leaves
+         * is seen by reading only; one that sends more than there is room for has no claim to what it sends.
+         */
+        private void wait(HttpObject part) {
+            if (timeout.isDiscarding()) {
+                ReferenceCountUtil.release(part);
+                return;
+            }
+            early.add(part);
+            earlyBytes += bytes(part);
+            if (earlyBytes > Math.min(MOST_EARLY, buffers.mostWhole())) {
+                overrun();
+            }
+        }
+
+        /** From here on its bytes are dropped as they come, and the answer that is due ends it. */
+        private void overrun() {
+            counters.add(Count.IMPROPER);
+            Log.line("improper", "more behind a request than there is room for, from "
+                + channel.remoteAddress());
+            keep = false;
+            timeout.discard();
+            releaseEarly();
+            if (NEXT.equals(inHand)) {
+                inHand = null;
+                ending = true;
+                endSending();
+            }
+        }
+
+        private static int bytes(HttpObject part) {
+            return EARLY_PART + (part instanceof HttpContent content ? content.content().readableBytes() : 0);
+        }
+
+        private HttpObject nextEarly() {
+            HttpObject next = early.poll();
+            earlyBytes -= bytes(next);
+            return next;
+        }
+
+        private void releaseEarly() {
+            early.forEach(ReferenceCountUtil::release);
+            early.clear();
+            earlyBytes = 0;
+        }
+
+        /**
+         * Ends a connection that carries nothing, in good order: what has come by now is read and served
+         * first, and what crosses the end is read and goes nowhere; its client sees the end and sends it
+         * anew. Closing over unread bytes would reset the connection in place of that. One on which a part
+         * of a request has come is left alone, unless there is no time for the rest of it.
+         */
+        private void retire(boolean halfAsWell) {
+            idle.remove(this);
+            if (retiring) {
+                return;
+            }
+            retiring = true;
+            // Later than now, as sockets are looked at before what is due.
+            channel.eventLoop().schedule(() -> {
+                retiring = false;
+                if (isWaiting() && channel.isActive()
+                    && (halfAsWell || head == null && !timeout.isPartial())) {
+                    ending = true;
+                    drop();
+                    endSending(LINGER_REST_MILLIS);
+                }
+            }, 1, TimeUnit.MILLISECONDS);
+        }
+
         /** What comes after the answer is read: closing with bytes unread would take the answer with it. */
         private void discard(HttpObject part) {
             ReferenceCountUtil.release(part);
@@ -459,9 +583,31 @@
                 improper(wrong, null);
                 return;
             }
-            Request request = request(message, false);
-            inHand = request.id();
-            table.take(request, message, this);
+            whole = new Whole(request(message, false), message);
+            inHand = whole.request.id();
+            channel.eventLoop().execute(this::handOn);
+        }
+
+        /**
+         * All that has come is read: a client that has left by now is owed nothing, and nothing is sent
+         * on.
+         */
+        private void handOn() {
+            Whole next = whole;
+            whole = null;
+            if (next == null) {
+                return;
+            }
+            if (!channel.isActive()) {
+                counters.add(Count.GONE);
+                next.message.release();
+            } else if (table.holds(next.request.id())) {
+                next.message.release();
+                inHand = null;
+                improper(HttpResponseStatus.CONFLICT, null);
+            } else {
+                table.take(next.request, next.message, this);
+            }
         }
 
         /** The request is long: it goes on as it comes. */
@@ -686,7 +832,7 @@
         /** The answer is on its way whole. */
         private void finish(ChannelFuture written) {
             inHand = null;
-            if (last) {
+            if (last || !keep) {
                 ending = true;
                 if (upload != null) {
                     upload.release();
@@ -712,9 +858,9 @@
             inHand = null;
             while (!early.isEmpty() && (ending || inHand == null || upload != null)) {
                 if (ending) {
-                    discard(early.poll());
+                    discard(nextEarly());
                 } else {
-                    read(early.poll());
+                    read(nextEarly());
                 }
             }
             if (early.isEmpty()) {
@@ -723,11 +869,14 @@
         }
 
         private void endSending() {
+            endSending(head == null ? LINGER_MILLIS : LINGER_UPLOAD_MILLIS);
+        }
+
+        private void endSending(long lingerMillis) {
             if (channel instanceof DuplexChannel duplex && channel.isActive()) {
                 duplex.shutdownOutput();
                 channel.config().setAutoRead(true);
-                channel.eventLoop().schedule(() -> channel.close(),
-                    head == null ? LINGER_MILLIS : LINGER_UPLOAD_MILLIS, TimeUnit.MILLISECONDS);
+                channel.eventLoop().schedule(() -> channel.close(), lingerMillis, TimeUnit.MILLISECONDS);
             } else {
                 channel.close();
             }
@@ -753,6 +902,12 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (cause instanceof CodecException && inHand != null && upload == null && !ending) {
+                if (!timeout.isDiscarding()) {
+                    overrun(); // the request before is owed its answer all the same
+                }
+                return;
+            }
             if (!(cause instanceof IOException)) {
                 Log.error("client", cause);
             }
--- a/proxy/src/main/java/dockrelay/proxy/Config.java
+++ b/proxy/src/main/java/dockrelay/proxy/Config.java
@@ -2,11 +2,13 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import dockrelay.Balancer.Settings;
 import dockrelay.Balancer.Tenant;
 import dockrelay.fleet.budget.Budget;
 import dockrelay.fleet.budget.BudgetException;
 import dockrelay.settings.Json;
+import dockrelay.settings.SettingException;
 import dockrelay.settings.SettingsReader;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -16,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * What the proxy is told at its start. Times are in microseconds. Where {@code peers} is an object, its names
@@ -25,28 +28,42 @@
               int memory, Map<?, ?> known, Settings settings, long connectTimeout, long connectionIdle,
               boolean retryAfter, InetSocketAddress console, InetSocketAddress peerListen,
               List<InetSocketAddress> peers, InetSocketAddress peersAll, List<String> members,
-              List<Budget> budgets, List<String> retired) {
+              List<Budget> budgets, List<String> retired, Set<String> streaming) {
     private static final double MICROS = 1_000_000;
     /** Copies, hedges and retries of all proxies together. */
     private static final Set<String> BUDGETS = Set.of("extra");
 
-    static Config read(Path file) throws IOException {
-        return parse(Files.readString(file));
+    /** Whatever is wrong is told in one line, with the file. */
+    static Config read(Path file) throws ConfigException {
+        try {
+            return parse(Files.readString(file));
+        } catch (IOException | RuntimeException e) {
+            throw new ConfigException(file, e);
+        }
     }
 
     static Config parse(String text) throws IOException {
+        Object top;
         try (JsonParser parser = new JsonFactory().createParser(text)) {
             parser.nextToken();
-            return of((Map<?, ?>) Json.value(parser));
+            top = Json.value(parser);
+        } catch (JsonProcessingException e) {
+            throw new SettingException("line " + (e.getLocation() == null ? 1 : e.getLocation().getLineNr()),
+                text.isBlank() ? "" : e.getOriginalMessage(), "one JSON object");
+        }
+        if (top instanceof Map<?, ?> map) {
+            return of(map);
         }
+        throw new SettingException("the whole", top, "one JSON object");
     }
 
     private static Config of(Map<?, ?> top) {
         Map<?, ?> settings = map(top, "settings");
         Map<?, ?> allowed = map(settings, "Permissions");
-        return new Config(text(top, "name"), address(text(top, "listen")), address(text(top, "discovery")),
-            Long.parseUnsignedLong(text(top, "seed"), 16), (int) number(map(top, "limits"), "sockets", 1024),
-            (int) number(map(top, "limits"), "memory_mb", 192),
+        return new Config(text(top, "name"), address("listen", text(top, "listen")),
+            address("discovery", text(top, "discovery")),
+            seed(text(top, "seed")), within(map(top, "limits"), "limits.", "sockets", 1024, 34),
+            within(map(top, "limits"), "limits.", "memory_mb", 192, 16),
             map(top, "known"), SettingsReader.read(settings),
             (long) (number(allowed, "ConnectTimeout", 0.25) * MICROS),
             (long) (number(allowed, "ConnIdle", 15) * MICROS),
@@ -54,7 +71,35 @@
             maybe(top, "peer_listen"), peers(top), maybe(top, "peers_all"),
             map(top, "peers").keySet().stream().map(String.class::cast).toList(),
             budgets(top, SettingsReader.read(settings)),
-            list(top, "retired").stream().map(String.class::cast).toList());
+            list(top, "retired").stream().map(String.class::cast).toList(), streaming(settings));
+    }
+
+    /** The classes whose answers flow for as long as they will. */
+    private static Set<String> streaming(Map<?, ?> settings) {
+        return list(settings, "Services").stream().map(Map.class::cast)
+            .filter(service -> Boolean.TRUE.equals(service.get("Streaming")))
+            .map(service -> text(service, "Name")).collect(Collectors.toSet());
+    }
+
+    private static long seed(String text) {
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            throw new SettingException("seed", text, "1 to 16 hex digits");
+        }
+    }
+
+    /** A whole number that has to be at least this. */
+    private static int within(Map<?, ?> from, String path, String key, int fallback, int least) {
+        Object value = from.get(key);
+        if (value == null) {
+            return fallback;
+        }
+        if (value instanceof Number number && number.doubleValue() >= least
+            && number.doubleValue() <= Integer.MAX_VALUE && number.doubleValue() % 1 == 0) {
+            return number.intValue();
+        }
+        throw new SettingException(path + key, value, "a whole number of at least " + least);
     }
 
     /** Where {@code budgets} is there: those that it names, and each tenant's share. */
@@ -95,11 +140,7 @@
     }
 
     private static InetSocketAddress peer(String key, Object value) {
-        try {
-            return address((String) value);
-        } catch (RuntimeException e) {
-            throw new IllegalArgumentException(key + " = " + value + " is not HOST:PORT", e);
-        }
+        return address(key, value);
     }
 
     /** Whether the proxies are to know of each other. */
@@ -107,14 +148,27 @@
         return settings.limits().peers() && peerListen != null && !members.isEmpty();
     }
 
+    private static InetSocketAddress address(String key, Object value) {
+        try {
+            return address((String) value);
+        } catch (RuntimeException e) {
+            throw new SettingException(key, value, "HOST:PORT");
+        }
+    }
+
     /** An address written as host:port; only literal hosts, as there are no names to look up. */
     static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
-        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        InetSocketAddress address =
+            new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        if (address.isUnresolved()) {
+            throw new IllegalArgumentException("no address: " + text);
+        }
+        return address;
     }
 
     private static InetSocketAddress maybe(Map<?, ?> from, String key) {
-        return from.get(key) instanceof String value ? address(value) : null;
+        return from.get(key) instanceof String value ? address(key, value) : null;
     }
 
     static Map<?, ?> map(Map<?, ?> from, String key) {
@@ -133,6 +187,6 @@
         if (from.get(key) instanceof String value) {
             return value;
         }
-        throw new IllegalArgumentException("missing or not a string: " + key);
+        throw new SettingException(key, from.get(key), "a text");
     }
 }
--- a/proxy/src/main/java/dockrelay/proxy/Proxy.java
+++ b/proxy/src/main/java/dockrelay/proxy/Proxy.java
@@ -3,10 +3,10 @@
 import dockrelay.Balancer.Fleet;
 import dockrelay.Balancer.ServiceClass;
 import dockrelay.RiqBalancer;
+import dockrelay.settings.SettingException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.PooledByteBufAllocator;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -20,7 +20,10 @@
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -36,16 +39,17 @@
     /** Holds a burst of new connections while the loop is busy for a moment. */
     private static final int BACKLOG = 1024;
     /** After SIGTERM new connections go on coming for up to 0.4 s; none is turned away. */
-    private static final long LAST_CONNECTIONS_MILLIS = 550;
+    static final long LAST_CONNECTIONS_MILLIS = 550;
     /** Two processes notice each other and each other's changes within this. */
     private static final long LOOK_MILLIS = 100;
     /** After the warm-up: the next process is to serve within 6 s of its start, discovery or not. */
     private static final long LIST_MILLIS = 1_000;
     /**
      * Where lists are pushed, what the agent has counts from the first moment: no request is taken before it
-     * has told its list. A start that takes 30 s has failed, so in the end what was known has to do.
+     * has told its list. A restart has to be ready within 10 s, counted from a moment before this program's
+     * first line, with discovery down as well: what was known has to do then.
      */
-    private static final long PUSHED_LIST_MILLIS = 20_000, PUSHED_LIST_UPGRADE_MILLIS = 3_000;
+    private static final long PUSHED_LIST_UPGRADE_MILLIS = 3_000, READY_MILLIS = 8_500;
     /** SIGKILL follows SIGTERM after the longest deadline, of this at most, and 0.7 s: some of it is kept. */
     private static final long LONGEST_DEADLINE_MICROS = 3_000_000;
     private static final long LAST_CHANCE_MILLIS = 450;
@@ -55,6 +59,9 @@
     /** Longer than any request may take: what is not over by then never will be. */
     private static final long LONGEST_SHUTDOWN_SECONDS = 10;
 
+    /** About when this process began. */
+    private static final long STARTED = System.nanoTime();
+
     private static final String REHEARSAL = "{\"name\":\"rehearsal\",\"listen\":\"127.0.0.1:0\","
         + "\"discovery\":\"127.0.0.1:1\",\"seed\":\"1\",\"settings\":{\"Discovery\":\"ask\","
         + "\"Services\":[{\"Name\":\"any\","
@@ -86,6 +93,14 @@
     }
 
     Proxy(Config config, Platform platform) throws IOException {
+        this(config, platform, System.nanoTime(), new AtomicBoolean());
+    }
+
+    /**
+     * Begun at this time of the nano clock. Who sets the mark first settles whether it ever listens: from
+     * then on there may be requests to answer, and it has to be asked to stop.
+     */
+    private Proxy(Config config, Platform platform, long begun, AtomicBoolean settled) throws IOException {
         LongSupplier clock = clock();
         PooledByteBufAllocator buffers = new PooledByteBufAllocator(true, 1, 1, 8192, 5, 256, 64, false);
         Bootstrap sockets = new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -135,13 +150,16 @@
         // what is taken beside the warm-up is answered too late. A refused connection loses nothing.
         WarmUp.run(config, buffers);
         if (!config.settings().askedDiscovery()) {
-            awaitList(shared ? PUSHED_LIST_UPGRADE_MILLIS : PUSHED_LIST_MILLIS);
+            long taken = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun);
+            awaitList(shared ? PUSHED_LIST_UPGRADE_MILLIS : Math.max(LIST_MILLIS, READY_MILLIS - taken));
         } else if (shared) {
             awaitList(LIST_MILLIS);
         }
-        ChannelFuture listens = loop.submit(() -> clients.listen(listening, shared ? null : config.listen()))
-            .syncUninterruptibly().getNow();
-        listens.syncUninterruptibly();
+        if (!settled.compareAndSet(false, true)) {
+            throw new EndedException();
+        }
+        loop.submit(() -> clients.listen(listening, shared ? null : config.listen())).syncUninterruptibly()
+            .getNow().syncUninterruptibly();
         accepting = true;
         if (members != null) {
             members.join();
@@ -183,17 +201,57 @@
 
     /** Runs the proxy that PROXY_CONFIG describes until it is told to end. */
     public static void main() {
+        CompletableFuture<Proxy> started = new CompletableFuture<>();
+        AtomicBoolean settled = new AtomicBoolean(), failed = new AtomicBoolean();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            if (!failed.get()) {
+                end(started, settled);
+            }
+            Runtime.getRuntime().halt(failed.get() ? 1 : 0); // asked to end, it ends well
+        }, "stop"));
         try {
-            Path file = Path.of(System.getenv("PROXY_CONFIG"));
-            CompletableFuture<Proxy> started = new CompletableFuture<>();
+            String named = System.getenv("PROXY_CONFIG");
+            if (named == null) {
+                throw new SettingException("PROXY_CONFIG", null, "the configuration's file");
+            }
+            Path file = Path.of(named);
             Signals.onHangUp(() -> started.thenAccept(proxy -> proxy.reload(file)));
             Config config = Config.read(file);
-            Proxy proxy = new Proxy(config, Platform.of(config, System.getenv()));
-            Runtime.getRuntime().addShutdownHook(new Thread(proxy::stop, "stop"));
-            started.complete(proxy);
+            started.complete(new Proxy(config, Platform.of(config, System.getenv()), STARTED, settled));
+        } catch (EndedException e) {
+            return; // the other thread ends the process
+        } catch (ConfigException | SettingException e) {
+            fail(started, failed, e, () -> Log.line("start", e.getMessage()));
         } catch (IOException | RuntimeException e) {
-            Log.error("start", e);
-            System.exit(1);
+            fail(started, failed, e, () -> Log.error("start", e));
+        }
+    }
+
+    private static void fail(CompletableFuture<Proxy> started, AtomicBoolean failed, Exception cause,
+                             Runnable log) {
+        log.run();
+        failed.set(true);
+        started.completeExceptionally(cause);
+        System.exit(1);
+    }
+
+    /** Asked to end before it listened. */
+    private static final class EndedException extends RuntimeException {
+        private static final long serialVersionUID = 1;
+    }
+
+    /** Before it listens there is nothing to serve out; from then on the start is over soon. */
+    private static void end(CompletableFuture<Proxy> started, AtomicBoolean settled) {
+        if (settled.compareAndSet(false, true)) {
+            Log.line("stop", "asked to end before it listened");
+            return;
+        }
+        try {
+            started.get(LONGEST_SHUTDOWN_SECONDS, TimeUnit.SECONDS).stop();
+        } catch (ExecutionException | TimeoutException | RuntimeException e) {
+            Log.error("stop", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
@@ -206,7 +264,9 @@
             if (members != null && next.membership()) {
                 members.configure(next);
             }
-        } catch (IOException | RuntimeException e) {
+        } catch (ConfigException e) {
+            Log.line("reload", e.getMessage() + "; what was in force stays so");
+        } catch (RuntimeException e) {
             Log.error("reload", e);
         }
     }
@@ -243,6 +303,19 @@
         return loop;
     }
 
+    ClientSide clientSide() {
+        return clients;
+    }
+
+    boolean isStopping() {
+        return stopping;
+    }
+
+    /** How many requests are in hand, or have attempts out still. */
+    int inHand() {
+        return table.size();
+    }
+
     private boolean ready() {
         return !stopping && discovery.anyReady();
     }
@@ -317,8 +390,8 @@
             clients.whenEmpty(() -> table.whenEmpty(this::finish));
         } else {
             loop.schedule(() -> {
-                clients.close();
-                clients.whenEmpty(() -> table.whenEmpty(this::finish));
+                clients.closeOnceAccepted(LOOK_MILLIS / 2,
+                    () -> clients.whenEmpty(() -> table.whenEmpty(this::finish)));
                 loop.scheduleWithFixedDelay(clients::closeRested, 0, LOOK_MILLIS, TimeUnit.MILLISECONDS);
             }, Math.min(left, LAST_CONNECTIONS_MILLIS), TimeUnit.MILLISECONDS);
         }
--- a/proxy/src/main/java/dockrelay/proxy/RequestTable.java
+++ b/proxy/src/main/java/dockrelay/proxy/RequestTable.java
@@ -5,11 +5,13 @@
 import dockrelay.Balancer.BudgetPart;
 import dockrelay.Balancer.BudgetUse;
 import dockrelay.Balancer.Fleet;
+import dockrelay.Balancer.Idempotency;
 import dockrelay.Balancer.ListScope;
 import dockrelay.Balancer.LoadReport;
 import dockrelay.Balancer.Outcome;
 import dockrelay.Balancer.Phase;
 import dockrelay.Balancer.Request;
+import dockrelay.Balancer.ServiceClass;
 import dockrelay.proxy.Counters.Count;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -37,6 +39,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -56,6 +59,9 @@
     /** ...but of a short time budget each takes this part at most: else a hasty client's is all margin. */
     private static final long ATTEMPT_MARGIN_PART = 10;
     private static final long ANSWER_MARGIN_PART = 20;
+    /** A repeat takes a moment to the backend, which forgets the first attempt when its window is over. */
+    private static final long WINDOW_MARGIN = 10_000;
+    private static final long WINDOW_MARGIN_PART = 10;
     private static final double MICROS = 1_000_000;
 
     private final EventLoop loop;
@@ -65,6 +71,8 @@
     private final int maxAttempts;
     private final boolean retryAfter;
     private final long probeTimeout;
+    private final Map<String, ServiceClass> classes = new HashMap<>();
+    private final Set<String> streaming;
     private final Map<String, Pending> pending = new HashMap<>();
     private final Deque<Event> events = new ArrayDeque<>();
     private boolean inside;
@@ -104,6 +112,11 @@
         int out;
         boolean answered;
 
+        /** The attempts that the pool has taken so far. */
+        List<BackendPool.Exchange> exchanges() {
+            return attempts.stream().filter(Objects::nonNull).toList();
+        }
+
         Pending(Request request, FullHttpRequest message, Body body, Reply reply) {
             this.request = request;
             this.message = message;
@@ -121,6 +134,10 @@
         this.maxAttempts = config.settings().limits().maxAttempts();
         this.retryAfter = config.retryAfter();
         this.probeTimeout = config.connectTimeout();
+        this.streaming = config.streaming();
+        for (ServiceClass spec : config.settings().classes()) {
+            classes.put(spec.name(), spec);
+        }
     }
 
     /** The module that decides; it is made with this table as its actions. */
@@ -234,6 +251,7 @@
             counters.add(Count.OVERDUE);
             conclude(p, plain(HttpResponseStatus.GATEWAY_TIMEOUT));
             enter(p, () -> module.onClientGone(clock.getAsLong(), p.request.id()));
+            callOffUnsent(p);
         }
     }
 
@@ -246,6 +264,7 @@
         counters.add(Count.GONE);
         conclude(p, null);
         enter(p, () -> module.onClientGone(clock.getAsLong(), requestId));
+        callOffUnsent(p);
         if (p.streaming != null) {
             p.streaming.cancel();
         }
@@ -282,6 +301,13 @@
         retire(p);
     }
 
+    /** Whatever the settings say of calling off: of a request that is over nothing begins any more. */
+    private static void callOffUnsent(Pending p) {
+        for (BackendPool.Exchange attempt : List.copyOf(p.exchanges())) {
+            attempt.cancelUnlessBegun();
+        }
+    }
+
     private static void stopTime(Pending p) {
         if (p.timer != null) {
             p.timer.cancel(false);
@@ -297,6 +323,7 @@
 
     private void retire(Pending p) {
         if (p.answered && p.out == 0 && pending.remove(p.request.id(), p)) {
+            stopTime(p);
             p.message.release();
             if (p.body != null) {
                 p.body.release();
@@ -319,6 +346,45 @@
         p.reply.begin(head, body);
         enter(p, () -> module.onStreamStart(clock.getAsLong(), p.request.id(), attempt, backend,
             latency(p, sentAt, p.beganAt)));
+        callOffUnsent(p);
+        endByItsTime(p);
+    }
+
+    /**
+     * The last byte of all but a long answer is due in time: one that goes on for ever must not keep its
+     * client waiting for an end. The client sees that it was broken off.
+     */
+    private void endByItsTime(Pending p) {
+        if (p.wholeAt == 0 || streaming.contains(p.request.serviceClass())) {
+            return;
+        }
+        p.timer = loop.schedule(() -> {
+            if (!p.streaming.hasEnded() && !p.streaming.isLong()) {
+                counters.add(Count.OVERDUE);
+                p.streaming.timeOut();
+            }
+        }, Math.max(0, p.deadline - clock.getAsLong()), TimeUnit.MICROSECONDS);
+    }
+
+    /** Whether a first byte may go out now that was decided on some time ago. */
+    private boolean mayBegin(Pending p, int attempt) {
+        ServiceClass spec = classes.get(p.request.serviceClass());
+        if (p.answered) {
+            return false;
+        }
+        for (int i = 0; i < p.attempts.size(); i++) {
+            BackendPool.Exchange other = p.attempts.get(i);
+            if (i == attempt || other == null || !other.mayHaveRun() || spec == null) {
+                continue;
+            }
+            long window = spec.dedupWindow();
+            long margin = Math.min(WINDOW_MARGIN, window / WINDOW_MARGIN_PART);
+            if (spec.idempotency() == Idempotency.AT_MOST_ONCE
+                || spec.idempotency() == Idempotency.DEDUPLICATED && other.sinceBegun() > window - margin) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** How long the backend took; what the client took to send its request is not the backend's time. */
@@ -342,6 +408,9 @@
                 latency(p, sentAt, streamed ? p.beganAt : now), over, report);
             retire(p);
         });
+        if (p.answered) {
+            callOffUnsent(p); // after the event: the module is to hear of the winner first
+        }
     }
 
     @Override
@@ -370,6 +439,11 @@
                     RequestTable.this.began(p, attempt, backend, now, head, body);
                 }
 
+                @Override
+                public boolean mayBegin() {
+                    return RequestTable.this.mayBegin(p, attempt);
+                }
+
                 @Override
                 public void ended(Outcome outcome, LoadReport report, FullHttpResponse response) {
                     RequestTable.this.ended(p, attempt, backend, now, outcome, report, response);
@@ -423,6 +497,7 @@
         Pending p = pending.get(requestId);
         if (p != null) {
             conclude(p, response);
+            callOffUnsent(p);
         }
     }
 
--- a/proxy/src/main/java/dockrelay/proxy/RequestTimeout.java
+++ b/proxy/src/main/java/dockrelay/proxy/RequestTimeout.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
@@ -21,7 +22,7 @@
 
     private ChannelHandlerContext context;
     private Future<?> timer;
-    private boolean partial;
+    private boolean partial, discarding;
     private long heardAt = System.nanoTime();
     private long bytes; // that came since the timer was set
 
@@ -40,6 +41,10 @@
 
     @Override
     public void channelRead(ChannelHandlerContext reading, Object bytesOf) {
+        if (discarding) {
+            ReferenceCountUtil.release(bytesOf);
+            return;
+        }
         partial = true;
         heardAt = System.nanoTime();
         bytes += bytesOf instanceof ByteBuf buffer ? buffer.readableBytes() : 0;
@@ -59,12 +64,33 @@
         return heardAt;
     }
 
+    /** Whether bytes have come of which no request has arrived whole. */
+    boolean isPartial() {
+        return partial;
+    }
+
+    /** From now on what comes is read and goes nowhere. */
+    void discard() {
+        discarding = true;
+    }
+
+    boolean isDiscarding() {
+        return discarding;
+    }
+
     /** A request has arrived whole. */
     void arrived() {
         partial = false;
         disarm();
     }
 
+    /** Whoever heard of it is busy with what came before: it is told again. */
+    void again() {
+        if (timer == null && context.channel().isActive()) {
+            arm(MILLIS);
+        }
+    }
+
     private void arm(long millis) {
         bytes = 0;
         timer = context.executor().schedule(() -> {
--- /dev/null
+++ b/proxy/src/test/java/dockrelay/proxy/BackendCrossingTest.java
@@ -0,0 +1,309 @@
+package dockrelay.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockrelay.Balancer;
+import dockrelay.Balancer.Outcome;
+import dockrelay.Balancer.Request;
+import dockrelay.proxy.Fakes.BackendFake;
+import dockrelay.proxy.Fakes.ClientFake;
+import dockrelay.proxy.Fakes.Deaf;
+import dockrelay.proxy.Fakes.DiscoveryFake;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Answers, ends and late connections of backends that cross what the proxy does just then. */
+class BackendCrossingTest {
+    private static final long NEVER = Long.MAX_VALUE / 4;
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final List<FullHttpResponse> answers = new CopyOnWriteArrayList<>();
+    private final List<Outcome> outcomes = new CopyOnWriteArrayList<>();
+    private final BackendFake backend = new BackendFake(request -> Fakes.answer("200 OK", "", "one"));
+    private final DiscoveryFake discovery = new DiscoveryFake();
+    private BackendPool pool;
+    private RequestTable table;
+    private Proxy proxy;
+
+    @AfterEach
+    void end() throws IOException {
+        group.shutdownGracefully();
+        if (proxy != null) {
+            proxy.stop();
+        }
+        backend.close();
+        discovery.close();
+    }
+
+    /**
+     * Parts of a proxy with a made-up module, connections that may take long to come up, and a short
+     * window.
+     */
+    private void parts(long settledNanos, BiConsumer<String, Object[]> does) {
+        pool = new BackendPool(new Bootstrap().group(group).channel(NioSocketChannel.class), loop, 8,
+            600_000_000, 15_000_000, new Counters(), new Buffers(() -> 0, 144), settledNanos);
+        Config config = Fakes.parsed(Fakes.text(0, 1, 1024, "", "")
+            .replace("\"MemorySpan\":5.0", "\"MemorySpan\":0.2"));
+        table = new RequestTable(loop, pool, () -> System.nanoTime() / 1000, config, new Counters());
+        Balancer made = (Balancer) java.lang.reflect.Proxy.newProxyInstance(getClass().getClassLoader(),
+            new Class<?>[] {Balancer.class}, (self, method, arguments) -> {
+                if ("onOutcome".equals(method.getName())) {
+                    outcomes.add((Outcome) arguments[4]);
+                }
+                does.accept(method.getName(), arguments);
+                return null;
+            });
+        table.attach(made, () -> { }, message -> { });
+    }
+
+    private void learn(long id, int port, boolean ready) {
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+        loop.submit(() -> pool.learn(id, address, ready)).syncUninterruptibly();
+    }
+
+    private void take(String id, String spec) {
+        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
+            "/" + spec + "/x");
+        loop.submit(() -> table.take(new Request(id, spec, null, null, 3_600_000_000L, 0, false), message,
+            answers::add)).syncUninterruptibly();
+    }
+
+    private static void awaitNoBytes(Socket connection) throws IOException {
+        assertEquals(-1, connection.getInputStream().read(), "no byte of it is sent");
+    }
+
+    /** A second answer may come some milliseconds later, and would pass for the next request's. */
+    @Test
+    void aConnectionThatHasJustAnsweredIsLeftAloneForAMoment() throws Exception {
+        for (long settled : new long[] {NEVER, 0}) {
+            outcomes.clear();
+            parts(settled, (event, arguments) -> {
+                if ("onRequest".equals(event)) {
+                    table.send(((Request) arguments[1]).id(), 1, 0);
+                }
+            });
+            learn(1, backend.port(), true);
+            for (int i = 1; i <= 3; i++) {
+                int count = i;
+                take("r" + i, "save");
+                Fakes.await("its answer", () -> outcomes.size() == count);
+            }
+            assertEquals(List.of(Outcome.OK, Outcome.OK, Outcome.OK), outcomes);
+            int connections = backend.open.size();
+            assertEquals(settled == 0 ? 1 : 3, connections);
+            loop.submit(() -> pool.hangUp(1)).syncUninterruptibly();
+            Fakes.await("they are closed", () -> backend.open.isEmpty());
+        }
+    }
+
+    /** The window for repeats is over by the time at which the connection for the repeat is up. */
+    @Test
+    void aRepeatThatComesUpAfterTheWindowIsNotSent() throws Exception {
+        AtomicLong sentAt = new AtomicLong();
+        try (Deaf deaf = new Deaf()) {
+            parts(0, (event, arguments) -> {
+                if ("onRequest".equals(event)) {
+                    sentAt.set(System.nanoTime());
+                    table.send("r", 1, 0);
+                } else if (outcomes.size() == 1) {
+                    table.send("r", 2, 0);
+                } else if (outcomes.size() == 2) {
+                    table.fail("r");
+                }
+            });
+            backend.script = request -> ""; // closed after the request: it may have run
+            learn(1, backend.port(), true);
+            learn(2, deaf.port(), true);
+            take("r", "save");
+            Fakes.await("the first attempt's end", () -> outcomes.contains(Outcome.RESET));
+            Fakes.await("the window is over", () -> System.nanoTime() - sentAt.get() > 300_000_000L);
+            try (Socket late = deaf.open()) {
+                awaitNoBytes(late);
+            }
+            Fakes.await("the answer", () -> !answers.isEmpty());
+            assertEquals(List.of(Outcome.RESET, Outcome.NOT_SENT), outcomes);
+            assertEquals(502, answers.get(0).status().code());
+        }
+    }
+
+    @Test
+    void aConnectionThatComesUpAfterADrainWasToldIsNotUsed() throws Exception {
+        try (Deaf deaf = new Deaf()) {
+            parts(0, (event, arguments) -> {
+                if ("onRequest".equals(event)) {
+                    table.send("r", 1, 0);
+                } else {
+                    table.refuse("r", 0);
+                }
+            });
+            learn(1, deaf.port(), true);
+            take("r", "put");
+            learn(1, deaf.port(), false);
+            try (Socket late = deaf.open()) {
+                awaitNoBytes(late);
+            }
+            Fakes.await("the answer", () -> !answers.isEmpty());
+            assertEquals(List.of(Outcome.CONNECT_FAILURE), outcomes);
+            assertEquals(503, answers.get(0).status().code());
+        }
+    }
+
+    /**
+     * The loser waits for a connection as the winner answers, and the settings do not let it be called
+     * off.
+     */
+    @Test
+    void aCopyThatHasNotBegunEndsWithTheAnswer() throws Exception {
+        try (Deaf deaf = new Deaf()) {
+            parts(0, (event, arguments) -> {
+                if ("onRequest".equals(event)) {
+                    table.send("r", 1, 0);
+                    table.send("r", 2, 0);
+                }
+            });
+            learn(1, deaf.port(), true);
+            learn(2, backend.port(), true);
+            take("r", "save");
+            Fakes.await("nothing is in hand", () -> table.size() == 0);
+            assertEquals(List.of(Outcome.OK, Outcome.CANCELLED), outcomes, "the winner is told first");
+            assertEquals(200, answers.get(0).status().code());
+        }
+    }
+
+    private void start() throws IOException {
+        discovery.first(DiscoveryFake.list(2, true, Fakes.entry("s-1", backend.port(), "active")));
+        proxy = new Proxy(Fakes.config(discovery.port(), 1024));
+    }
+
+    /** It goes on for ever, a little at a time: its client is not to wait for an end that never comes. */
+    @Test
+    void anAnswerWithoutEndIsBrokenOffWhenItsTimeIsUp() throws Exception {
+        backend.script = request -> {
+            try {
+                for (Socket open : backend.open) {
+                    open.getOutputStream().write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                        .getBytes(StandardCharsets.UTF_8));
+                    while (true) {
+                        open.getOutputStream().write("1\r\nx\r\n".getBytes(StandardCharsets.UTF_8));
+                        Thread.sleep(20);
+                    }
+                }
+            } catch (IOException e) {
+                return "";
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+            return "";
+        };
+        start();
+        try (ClientFake client = new ClientFake(proxy)) {
+            client.send(ClientFake.post("put", "0.8"));
+            assertThrows(IOException.class, () -> {
+                while (client.socket.getInputStream().read() >= 0) {
+                    continue;
+                }
+            }, "a reset, so that it does not pass for whole");
+        }
+        Fakes.await("its attempt is over as well", () -> proxy.inHand() == 0);
+    }
+
+    /** An answer may last until its connection ends, but a reset is no end. */
+    @Test
+    void anAnswerWithoutALengthThatIsResetIsNotWhole() throws Exception {
+        backend.script = request -> {
+            try {
+                Socket open = backend.open.get(0);
+                open.getOutputStream().write(("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf")
+                    .getBytes(StandardCharsets.UTF_8));
+                open.setSoLinger(true, 0);
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+            return "";
+        };
+        start();
+        try (ClientFake client = new ClientFake(proxy)) {
+            assertEquals(502, client.send(ClientFake.post("put", "4.0")).status());
+        }
+    }
+
+    /** Both lie there as the loop comes to look: one final answer, and the next request has its own. */
+    @Test
+    void ofAnAnswerAndADeadlineThatComeTogetherOneIsTheAnswer() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        backend.script = request -> {
+            try {
+                answer.await();
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+            return Fakes.answer("200 OK", "", "one");
+        };
+        start();
+        try (ClientFake client = new ClientFake(proxy)) {
+            client.send(ClientFake.post("put", "0.4"));
+            Fakes.await("it is out", () -> backend.requests.size() == 1);
+            long due = System.nanoTime() + 400_000_000L;
+            Fakes.whileHeld(proxy.loop(), () -> { }, () -> {
+                answer.countDown();
+                Fakes.await("the deadline", () -> System.nanoTime() > due);
+            });
+            int status = client.status();
+            assertTrue(status == 200 || status == 504 || status == 502, status + "");
+            backend.script = request -> Fakes.answer("200 OK", "", "two");
+            String next = client.send(ClientFake.post("save", "4.0")).answer();
+            assertTrue(next.endsWith("two"), next);
+        }
+    }
+
+    /**
+     * The backend's end lies there unread as its connection is taken: it may have run, and is not
+     * repeated.
+     */
+    @Test
+    void aConnectionThatEndsAsItIsTakenMayHaveRunWhatIsWrittenToIt() throws Exception {
+        start();
+        try (ClientFake client = new ClientFake(proxy)) {
+            assertEquals(200, client.send(ClientFake.post("put", "4.0")).status());
+            Fakes.await("it may be used again", () -> {
+                try {
+                    return client.send(ClientFake.post("save", "4.0")).status() == 200;
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            Fakes.whileHeld(proxy.loop(), () -> { }, () -> {
+                client.send(ClientFake.post("put", "4.0"));
+                for (Socket open : backend.open) {
+                    open.close();
+                }
+            });
+            int status = client.status();
+            assertTrue(status == 502 || status == 200, "failed, or sent on one of its own: " + status);
+            assertTrue(backend.requests.stream().filter(put -> put.startsWith("POST /put")).count() <= 2);
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/test/java/dockrelay/proxy/CrossedSettingsTest.java
@@ -0,0 +1,125 @@
+package dockrelay.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockrelay.proxy.Fakes.BackendFake;
+import dockrelay.proxy.Fakes.ClientFake;
+import dockrelay.proxy.Fakes.DiscoveryFake;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Nothing of one request, or of one configuration, reaches the next on the same connections. */
+class CrossedSettingsTest {
+    private final BackendFake backend = new BackendFake(request -> Fakes.answer("200 OK", "", "one"));
+    private final DiscoveryFake discovery = new DiscoveryFake();
+    private Proxy proxy;
+
+    @BeforeEach
+    void start() throws IOException {
+        discovery.first(DiscoveryFake.list(2, true, Fakes.entry("s-1", backend.port(), "active")));
+        proxy = new Proxy(Fakes.config(discovery.port(), 1024));
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        proxy.stop();
+        discovery.close();
+        backend.close();
+    }
+
+    private static String request(String method, String spec, String id, String tenant, String timeout,
+                                  String key) {
+        return method + " /" + spec + "/thing HTTP/1.1\r\nHost: app\r\nX-Priority-Class: " + spec
+            + "\r\nX-Request-ID: " + id + "\r\nX-Timeout: " + timeout + "\r\n"
+            + (tenant == null ? "" : "X-Tenant-Id: " + tenant + "\r\n")
+            + (key == null ? "" : "Idempotency-Key: " + key + "\r\n")
+            + ("POST".equals(method) ? "Content-Length: 0\r\n" : "") + "\r\n";
+    }
+
+    private static String header(String request, String name) {
+        String from = request.toLowerCase();
+        int at = from.indexOf("\r\n" + name + ": ");
+        return at < 0 ? null : request.substring(at + name.length() + 4, request.indexOf('\r', at + 2));
+    }
+
+    /** One after the other, and in one write; in between one that is wrong, and one that is refused. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void eachRequestGoesOutWithWhatIsItsOwn(boolean together) throws Exception {
+        List<String> all = List.of(request("POST", "save", "a", "red", "4.0", "k-1"),
+            request("POST", "put", "b", null, "0.7", null), request("GET", "look", "c", "blue", "2.0", null),
+            request("POST", "save", "d", null, "0.9", "k-2"),
+            request("POST", "put", "e", "red", "3.0", null));
+        try (ClientFake client = new ClientFake(proxy)) {
+            if (together) {
+                client.send(String.join("", all));
+            }
+            for (String one : all) {
+                if (!together) {
+                    client.send(one);
+                }
+                assertEquals(200, client.status());
+            }
+        }
+        assertEquals(all.size(), backend.requests.size());
+        for (int i = 0; i < all.size(); i++) {
+            String sent = all.get(i), got = backend.requests.get(i);
+            for (String name : List.of("x-request-id", "x-priority-class", "x-tenant-id",
+                "idempotency-key")) {
+                assertEquals(header(sent, name), header(got, name), name + " of " + got);
+            }
+            double left = Double.parseDouble(header(got, "x-timeout"));
+            double own = Double.parseDouble(header(sent, "x-timeout"));
+            assertTrue(left > 0 && left <= Math.min(own, 1.0), left + " of its own " + own + ", aim 1.0");
+        }
+    }
+
+    /** What a reload does not take up stays as it was for all: here which class is safe to repeat. */
+    @Test
+    void aReloadChangesNoClass(@TempDir Path folder) throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, Fakes.text(0, discovery.port(), 1024, "", "")
+            .replace("\"at_most_once\"", "\"idempotent\""));
+        proxy.reload(file);
+        proxy.loop().submit(() -> { }).sync();
+        backend.script = request -> "";
+        try (ClientFake client = new ClientFake(proxy)) {
+            assertEquals(502, client.send(ClientFake.post("put", "4.0")).status());
+        }
+        assertEquals(1, backend.requests.size(), "an unsafe request goes out once");
+    }
+
+    /** A value that cannot be: one line with file, key, value and what is allowed, and the old one holds. */
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "\"sockets\":1024|\"sockets\":3|limits.sockets = 3: allowed is a whole number of at least 34",
+        "\"seed\":\"8c1f30d27a5be964\"|\"seed\":\"xyz\"|seed = \"xyz\": allowed is 1 to 16 hex digits",
+        "\"Aim\":1.0|\"Aim\":\"soon\"|Services.Aim = \"soon\": allowed is a number of at least 0",
+        "\"discovery\":\"127|\"discovery\":\"127.0.0.1|discovery = \"127.0.0.1",
+        "\"MaxAttempts\":5|\"MaxAttempts\":0|setting missing or out of range: limits maxAttempts",
+        "\"settings\":{|\"settings\":[|line 1 = "})
+    void aWrongValueIsNamedAndChangesNothing(String change, @TempDir Path folder) throws Exception {
+        String[] parts = change.split("\\|");
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, Fakes.text(0, discovery.port(), 1024, "", "").replace(parts[0], parts[1]));
+        ConfigException wrong =
+            assertThrows(ConfigException.class, () -> Config.read(file));
+        assertTrue(wrong.getMessage().startsWith(file + ": " + parts[2]), wrong.getMessage());
+        assertFalse(wrong.getMessage().contains("\n"), wrong.getMessage());
+        proxy.reload(file);
+        try (ClientFake client = new ClientFake(proxy)) {
+            assertEquals(200, client.send(ClientFake.get("4.0")).status());
+        }
+    }
+}
--- a/proxy/src/test/java/dockrelay/proxy/StreamTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/StreamTest.java
@@ -250,6 +250,8 @@
             assertTrue(head.startsWith("http/1.1 200"), head);
             firstBytes.countDown();
             assertArrayEquals(LONG, body(in, head));
+            long since = System.nanoTime();
+            Fakes.await("it is settled", () -> System.nanoTime() - since > BackendPool.SETTLED_NANOS);
             head = head(client.send(ClientFake.post("put", "4.0")).socket.getInputStream());
             assertArrayEquals(LONG, body(in, head));
         }
