--- a/proxy/src/main/java/dockrelay/proxy/BackendPool.java
+++ b/proxy/src/main/java/dockrelay/proxy/BackendPool.java
@@ -54,9 +54,9 @@
      * A backend may answer twice, the second time some milliseconds later: a connection is used again once it
      * has been quiet for so long after its answer, as nothing would tell such an answer from the next one's.
      */
-    static final long SETTLED_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    static final long SETTLED_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
     /** One that was caught at that is trusted less, for so long. */
-    private static final long SETTLED_STRAY_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+    private static final long SETTLED_STRAY_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
     private static final long STRAY_NANOS = TimeUnit.SECONDS.toNanos(30);
     /** A long answer is not longer than that. */
     private static final long MOST_BODY = 32 << 20;
