Let connections settle for 3 ms, and longer only where answers came spoilt of late

Change: 12 ms while an answer of any backend could not be read in the last 30 s, 40 ms at one that spoke unasked.

--- a/proxy/src/main/java/dockrelay/proxy/BackendPool.java
+++ b/proxy/src/main/java/dockrelay/proxy/BackendPool.java
@@ -54,10 +54,12 @@
      * A backend may answer twice, the second time some milliseconds later: a connection is used again once it
      * has been quiet for so long after its answer, as nothing would tell such an answer from the next one's.
      */
-    static final long SETTLED_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
-    /** One that was caught at that is trusted less, for so long. */
+    static final long SETTLED_NANOS = TimeUnit.MILLISECONDS.toNanos(3);
+    /** ...for so long where an answer that could not be read has come of late from any of them. */
+    private static final long SETTLED_SPOILT_NANOS = TimeUnit.MILLISECONDS.toNanos(12);
+    /** ...and for so long where it came from this one, and nobody had asked for it. */
     private static final long SETTLED_STRAY_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
-    private static final long STRAY_NANOS = TimeUnit.SECONDS.toNanos(30);
+    private static final long SPOILT_NANOS = TimeUnit.SECONDS.toNanos(30);
     /** A long answer is not longer than that. */
     private static final long MOST_BODY = 32 << 20;
     /** An answer of unknown length is held for this part of its time at most, to see whether it is short. */
@@ -75,6 +77,8 @@
     private final long idleNanos, settledNanos;
     private final Map<Long, Peer> peers = new HashMap<>();
     private int connections;
+    private boolean spoilt;
+    private long spoiltAt; // when an answer last could not be read
 
     /** Told once how an exchange ended; the response comes with OK only and is the listener's to release. */
     interface Listener {
@@ -209,7 +213,9 @@
     private Connection takeIdle(Peer peer) {
         Iterator<Connection> kept = peer.idle.descendingIterator();
         long now = System.nanoTime();
-        long settled = peer.stray && now - peer.strayAt < STRAY_NANOS ? SETTLED_STRAY_NANOS : settledNanos;
+        long settled = peer.stray && now - peer.strayAt < SPOILT_NANOS ? SETTLED_STRAY_NANOS
+            : spoilt && now - spoiltAt < SPOILT_NANOS ? Math.max(settledNanos, SETTLED_SPOILT_NANOS)
+            : settledNanos;
         while (kept.hasNext()) {
             Connection last = kept.next();
             if (last.reading || now - last.idleSince < Math.min(settled, idleNanos / 2)) {
@@ -654,6 +660,8 @@
 
         private void unreadable(String why) {
             counters.add(Count.UNREADABLE);
+            spoilt = true;
+            spoiltAt = System.nanoTime();
             Log.line("unreadable", "from " + address + ": " + why);
         }
 
