--- a/decision/src/main/java/dockrelay/RiqBalancer.java
+++ b/decision/src/main/java/dockrelay/RiqBalancer.java
@@ -630,8 +630,7 @@
             return true;
         }
         // Guards against windows that do not fit together while proxies see each other differently: all of
-        // the
-        // backends' part of the own answers adds up to no more than the whole, whatever the windows.
+        // the backends' part of the own answers adds up to no more than the whole, whatever the windows.
         // And against a rate that more of them answered than there are now passing for what these can do.
         double answered = Math.max(1, weightAnswered(now) / Math.max(1e-9, warmWeight));
         double perSecond = rate(now) * COLD_PART * settings.rules().fallMultiple() * node.weight
--- a/proxy/src/main/java/dockrelay/proxy/BackendPool.java
+++ b/proxy/src/main/java/dockrelay/proxy/BackendPool.java
@@ -409,12 +409,7 @@
             end(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILURE, null);
         }
 
-        /** Whether any byte of it has gone out. */
-        boolean hasBegun() {
-            return begun;
-        }
-
-        /** How long ago that was, in microseconds. */
+        /** How long ago its first byte went out, in microseconds. */
         long sinceBegun() {
             return TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - begunAt);
         }
--- a/settings/src/main/java/dockrelay/settings/SettingException.java
+++ b/settings/src/main/java/dockrelay/settings/SettingException.java
@@ -5,19 +5,12 @@
     private static final long serialVersionUID = 1L;
     private static final int LONGEST = 60;
 
-    private final String key;
-
     public SettingException(String key, Object value, String allowed) {
         super(key + (value == null ? " is missing" : " = " + shown(value)) + ": allowed is " + allowed);
-        this.key = key;
     }
 
     private static String shown(Object value) {
         String text = value instanceof String ? "\"" + value + "\"" : String.valueOf(value);
         return text.length() > LONGEST ? text.substring(0, LONGEST) + "..." : text;
     }
-
-    public String key() {
-        return key;
-    }
 }
