Take no quota by counts that rest on what others passed on

Cause: what a proxy is told of the others is to come from groups beyond its own too, with counts up to some seconds old. Change: the fact says how old its counts may be (countsAge; 0 where all is at first hand, as it is today). The share's freshness is as strict as before. Where counts are by others' word, quotas go by the share.

--- a/decision/src/main/java/dockrelay/Balancer.java
+++ b/decision/src/main/java/dockrelay/Balancer.java
@@ -134,14 +134,17 @@
      * What this proxy knows of the others, as it was {@code age} ago: how many share the work and which of
      * them it is, and the part of what all together may spend that is its own whatever others believe; the
      * least part is its own without anybody's word. Who tells of this once tells anew well within a second.
+     * Counts and agreement may rest on what others passed on, {@code countsAge} ago at the most: 0 where all of
+     * it is at first hand, else others may count otherwise meanwhile and nothing shared may be spent by counts.
      */
-    record Fleet(int proxies, int me, double share, double leastShare, Agreement agreement, long age) {
+    record Fleet(int proxies, int me, double share, double leastShare, Agreement agreement, long age,
+                 long countsAge) {
         public Fleet {
             require(proxies >= 1, "fleet proxies");
             require(me >= 0 && me < proxies, "fleet me");
             require(leastShare >= 0 && leastShare <= share && share <= 1, "fleet share");
             require(agreement != null, "fleet agreement");
-            require(age >= 0, "fleet age");
+            require(age >= 0 && countsAge >= 0, "fleet age");
         }
     }
 
--- a/decision/src/main/java/dockrelay/RiqBalancer.java
+++ b/decision/src/main/java/dockrelay/RiqBalancer.java
@@ -1096,6 +1096,13 @@
         told.put(from, asked);
     }
 
+    /** Guards against quotas that add up to more than the whole while nobody knows who takes which part. */
+    double partOfQuotas(long now, double even, double byDemand) {
+        double safe = fleetKnown(now) ? fleet.share() : fleet == null ? even : fleet.leastShare();
+        boolean firstHand = fleet == null || fleet.countsAge() == 0;
+        return fleetSettled(now) && firstHand ? Math.max(byDemand, even / 4) : safe;
+    }
+
     /**
      * Tells what each tenant asked here, and takes this proxy's part of each quota by its part of the demand.
      * Guards against refusing a tenant within its share at a proxy that carries more than its part.
@@ -1118,10 +1125,7 @@
             all *= Math.max(proxies, heard) / (double) heard; // those not heard of count as average
             double even = 1.0 / proxies;
             double part = all > 0 && heard > 1 ? tenant.asked / all : even;
-            // Guards against quotas that add up to more than the whole while nobody knows who takes which
-            // part.
-            double safe = fleetKnown(now) ? fleet.share() : fleet == null ? even : fleet.leastShare();
-            tenant.perSecond = tenant.quota * (fleetSettled(now) ? Math.max(part, even / 4) : safe);
+            tenant.perSecond = tenant.quota * partOfQuotas(now, even, part);
             message.append(i++ == 0 ? "" : " ").append(Math.round(tenant.asked));
         }
         actions.tellPeers(message.toString());
--- a/proxy/src/main/java/dockrelay/proxy/Members.java
+++ b/proxy/src/main/java/dockrelay/proxy/Members.java
@@ -134,7 +134,7 @@
             }
             Standing standing = machine.standing(now());
             told.accept(new Fleet(standing.members(), standing.me(), standing.share(), standing.leastShare(),
-                Agreement.valueOf(standing.agreement().name()), 0));
+                Agreement.valueOf(standing.agreement().name()), 0, 0));
         }
     }
 
@@ -260,7 +260,7 @@
             ended = true;
             peers.close();
             // The next process has the name's part from now on.
-            told.accept(new Fleet(1, 0, 0, 0, Agreement.MINORITY, 0));
+            told.accept(new Fleet(1, 0, 0, 0, Agreement.MINORITY, 0, 0));
         }, loop);
     }
 
--- a/proxy/src/main/java/dockrelay/proxy/Proxy.java
+++ b/proxy/src/main/java/dockrelay/proxy/Proxy.java
@@ -330,7 +330,7 @@
         long at = System.nanoTime();
         loop.execute(() -> table.fleet(new Fleet(fleet.proxies(), fleet.me(), fleet.share(),
             fleet.leastShare(),
-            fleet.agreement(), (System.nanoTime() - at) / 1000)));
+            fleet.agreement(), (System.nanoTime() - at) / 1000, fleet.countsAge())));
     }
 
     /** Takes up what another process of this proxy has changed. */
