Split a fleet's names into groups that all make alike, and give the API of groups

Change: Grouping puts the names of each zone into groups by rendezvous hash, none fuller than four thirds of the zone's mean; GroupException has code, key, value and what is allowed. Standing has the age of what it rests on, 0 in one group. Names are told apart by 32 bits within a group only, not over the whole fleet: of lists with 5,700 random names one in 260 would have had two alike (the test's seeded lists had).

--- a/fleet/src/main/java/dockrelay/fleet/Outlook.java
+++ b/fleet/src/main/java/dockrelay/fleet/Outlook.java
@@ -106,7 +106,8 @@
         double part = 1.0 / n, least = n == 1 ? 1 : part / 2;
         double share = n > 1 && (left || grants < quorum) ? least : part * (1 + 0.5 * blocked / (n
             - blocked));
-        return new Standing(Math.max(1, counted), rank, share, least, agreement, agreeing, present, n);
+        return new Standing(Math.max(1, counted), rank, share, least, agreement, agreeing, present, n,
+            0);
     }
 
     /** All members in order. */
--- a/fleet/src/main/java/dockrelay/fleet/Roster.java
+++ b/fleet/src/main/java/dockrelay/fleet/Roster.java
@@ -74,12 +74,12 @@
     }
 
     /** Below 0 where nobody has it. */
-    int index(String name) {
+    public int index(String name) {
         return byName.getOrDefault(name, -1);
     }
 
     /** Equal where the names are the same. */
-    int hash() {
+    public int hash() {
         return hash;
     }
 
--- /dev/null
+++ b/fleet/src/main/java/dockrelay/fleet/group/Grouping.java
@@ -0,0 +1,230 @@
+package dockrelay.fleet.group;
+
+import dockrelay.fleet.Roster;
+import dockrelay.fleet.group.GroupException.Code;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.zip.CRC32C;
+
+/**
+ * All names of a fleet, zone by zone, in groups that all who were given the same names make alike. A name
+ * goes to the group of its zone that draws the highest number for it (rendezvous hashing) and is not full:
+ * one name more or fewer moves hardly another one, and one group more or fewer about a group's worth.
+ */
+public final class Grouping {
+    /** The size that is aimed at. */
+    public static final int USUAL_SIZE = 64, LEAST_SIZE = 32, MOST_SIZE = 128;
+    private static final int MOST_NAMES = 16_384, LONGEST_NAME = 64;
+    /** A group holds at most this many times the mean of its zone, so that chance makes none too small. */
+    private static final double FULLEST = 4.0 / 3;
+    /** Groups of more than this in the mean could pass the most by chance. */
+    private static final double MOST_MEAN = 0.9 * MOST_SIZE;
+
+    private final List<Roster> rosters = new ArrayList<>();
+    private final List<String> labels = new ArrayList<>();
+    private final Map<String, Integer> byName = new HashMap<>();
+    private final Map<Integer, Integer> byKey = new HashMap<>();
+    private final int[] keys, before;
+    private final int hash;
+
+    private Grouping(Map<String, ? extends Collection<String>> zones, int size) {
+        check(zones);
+        CRC32C whole = new CRC32C();
+        for (Map.Entry<String, ? extends Collection<String>> zone : new TreeMap<>(zones).entrySet()) {
+            List<List<String>> groups = split(zone.getKey(), new TreeSet<>(zone.getValue()), size);
+            for (int i = 0; i < groups.size(); i++) {
+                String label = zone.getKey().isEmpty() ? Integer.toString(i + 1)
+                    : zone.getKey() + "/" + (i + 1);
+                if (byKey.put(Roster.id(label), labels.size()) != null) {
+                    throw new GroupException(Code.ALIKE, "zone", "\"" + zone.getKey() + "\"",
+                        "it cannot be told from another one; rename it");
+                }
+                labels.add(label);
+                apart(groups.get(i));
+                Roster roster = new Roster(groups.get(i));
+                rosters.add(roster);
+                whole.update(label.getBytes(StandardCharsets.UTF_8));
+                whole.update(0);
+                for (String name : roster.names()) {
+                    byName.put(name, labels.size() - 1);
+                    whole.update(name.getBytes(StandardCharsets.UTF_8));
+                    whole.update(0);
+                }
+            }
+        }
+        hash = (int) whole.getValue();
+        keys = labels.stream().mapToInt(Roster::id).toArray();
+        before = new int[rosters.size() + 1];
+        for (int i = 0; i < rosters.size(); i++) {
+            before[i + 1] = before[i] + rosters.get(i).size();
+        }
+    }
+
+    /** By zone; one zone named "" where the configuration names none. */
+    public static Grouping of(Map<String, ? extends Collection<String>> zones, int size) {
+        if (size < LEAST_SIZE || size > MOST_SIZE) {
+            throw new GroupException(Code.SIZE, "group size", Integer.toString(size),
+                "allowed are " + LEAST_SIZE + " to " + MOST_SIZE);
+        }
+        return new Grouping(zones, size);
+    }
+
+    /** With groups of a size that only tests want. */
+    static Grouping ofAnySize(Map<String, ? extends Collection<String>> zones, int size) {
+        return new Grouping(zones, size);
+    }
+
+    private void check(Map<String, ? extends Collection<String>> zones) {
+        int names = 0;
+        for (Map.Entry<String, ? extends Collection<String>> zone : zones.entrySet()) {
+            if (zone.getKey().isBlank() && (zones.size() > 1 || !zone.getKey().isEmpty())) {
+                throw new GroupException(Code.ZONE, "zone", "\"" + zone.getKey() + "\"",
+                    "a zone beside others needs a name");
+            }
+            if (zone.getValue().isEmpty()) {
+                throw new GroupException(Code.EMPTY, "zone", "\"" + zone.getKey() + "\" without a name in it",
+                    "give it one or leave it out");
+            }
+            names += zone.getValue().size();
+        }
+        if (names == 0 || names > MOST_NAMES) {
+            throw new GroupException(Code.TOO_MANY, "number of names", Integer.toString(names),
+                "allowed are 1 to " + MOST_NAMES);
+        }
+        Map<String, String> zoneOf = new HashMap<>();
+        zones.forEach((zone, in) -> in.forEach(name -> {
+            int length = name.getBytes(StandardCharsets.UTF_8).length;
+            if (length == 0 || length > LONGEST_NAME) {
+                throw new GroupException(Code.NAME, "name", "\"" + name + "\" of " + length + " bytes",
+                    "allowed are 1 to " + LONGEST_NAME);
+            }
+            String other = zoneOf.put(name, zone);
+            if (other != null) {
+                throw new GroupException(Code.TWICE, "name", "\"" + name + "\" in zone \"" + other
+                    + "\" and in zone \"" + zone + "\"", "name it once");
+            }
+        }));
+    }
+
+    /**
+     * Within a group names go by 32 bits. Over the whole fleet they do not: one list of 5,700 in 260 would
+     * have two that are alike.
+     */
+    private static void apart(List<String> names) {
+        Map<Integer, String> byId = new HashMap<>();
+        for (String name : names) {
+            String alike = byId.put(Roster.id(name), name);
+            if (alike != null) {
+                throw new GroupException(Code.ALIKE, "name", "\"" + name + "\"", "it cannot be told from \""
+                    + alike + "\" in the same group; rename one of them");
+            }
+        }
+    }
+
+    private static List<List<String>> split(String zone, TreeSet<String> names, int size) {
+        int n = names.size();
+        int groups = n <= Math.min(1.5 * size, MOST_SIZE) ? 1
+            : (int) Math.max(Math.round((double) n / size), Math.ceil(n / MOST_MEAN));
+        int full = groups == 1 ? n : (int) Math.min(MOST_SIZE, Math.ceil(FULLEST * n / groups));
+        List<List<String>> result = new ArrayList<>();
+        long[] seeds = new long[groups];
+        for (int i = 0; i < groups; i++) {
+            result.add(new ArrayList<>());
+            seeds[i] = mixed(hashed(zone) + i);
+        }
+        for (String name : names) {
+            long drawn = hashed(name), highest = 0;
+            int best = -1;
+            for (int i = 0; i < groups; i++) {
+                long number = mixed(seeds[i] ^ drawn);
+                if (result.get(i).size() < full && (best < 0 || number > highest)) {
+                    best = i;
+                    highest = number;
+                }
+            }
+            result.get(best).add(name);
+        }
+        result.removeIf(List::isEmpty); // chance, among the few names of a test
+        return result;
+    }
+
+    /** FNV-1a. */
+    private static long hashed(String text) {
+        long hash = 0xcbf29ce484222325L;
+        for (byte each : text.getBytes(StandardCharsets.UTF_8)) {
+            hash = (hash ^ (each & 0xff)) * 0x100000001b3L;
+        }
+        return mixed(hash);
+    }
+
+    /** SplitMix's last steps: each bit of the result hangs on all of the value. */
+    static long mixed(long value) {
+        long mixed = (value ^ value >>> 30) * 0xbf58476d1ce4e5b9L;
+        mixed = (mixed ^ mixed >>> 27) * 0x94d049bb133111ebL;
+        return mixed ^ mixed >>> 31;
+    }
+
+    /** Whether all are in one group: nothing is sent between groups. */
+    public boolean single() {
+        return rosters.size() == 1;
+    }
+
+    public int groups() {
+        return rosters.size();
+    }
+
+    /** Below 0 where nobody has it. */
+    public int groupOf(String name) {
+        return byName.getOrDefault(name, -1);
+    }
+
+    /** In the order that all see alike. */
+    public List<String> names(int group) {
+        return rosters.get(group).names();
+    }
+
+    /** As "zone/3"; without the zone where there is none. */
+    public String label(int group) {
+        return labels.get(group);
+    }
+
+    /** All names. */
+    public int size() {
+        return before[before.length - 1];
+    }
+
+    /** Equal where the names, their zones and groups are the same. */
+    public int hash() {
+        return hash;
+    }
+
+    /** Equal where the names of the group are the same. */
+    int hash(int group) {
+        return rosters.get(group).hash();
+    }
+
+    /** How many names are in the groups before this one. */
+    int before(int group) {
+        return before[group];
+    }
+
+    /** A group as it stands on the wire. */
+    int key(int group) {
+        return keys[group];
+    }
+
+    /** Below 0 where no group has it. */
+    int group(int key) {
+        return byKey.getOrDefault(key, -1);
+    }
+
+    Roster roster(int group) {
+        return rosters.get(group);
+    }
+}
