--- a/decision/src/main/java/dockrelay/Balancer.java
+++ b/decision/src/main/java/dockrelay/Balancer.java
@@ -134,8 +134,8 @@
      * What this proxy knows of the others, as it was {@code age} ago: how many share the work and which of
      * them it is, and the part of what all together may spend that is its own whatever others believe; the
      * least part is its own without anybody's word. Who tells of this once tells anew well within a second.
-     * Counts and agreement may rest on what others passed on, {@code countsAge} ago at the most: 0 where all of
-     * it is at first hand, else others may count otherwise meanwhile and nothing shared may be spent by counts.
+     * Counts and agreement may rest on what others passed on, {@code countsAge} ago at the most: 0 where all
+     * of it is at first hand, else others may count otherwise and nothing shared may be spent by counts.
      */
     record Fleet(int proxies, int me, double share, double leastShare, Agreement agreement, long age,
                  long countsAge) {
--- a/decision/src/test/java/dockrelay/FleetFactTest.java
+++ b/decision/src/test/java/dockrelay/FleetFactTest.java
@@ -30,7 +30,7 @@
         return new Fleet(proxies, 0, share, 1.0 / ALL / 2, agreement, 0, countsAge);
     }
 
-    /** A group that is cut off keeps its own even part: the others, who all agree without it, leave it that. */
+    /** A group that is cut off keeps its own even part: the others, who agree without it, leave it that. */
     @Test
     void whatIsCountedByOthersWordIsNotSpentByCounts() {
         double others = (ALL - CUT_OFF) * taken(fleet(ALL - CUT_OFF, Agreement.ALL, 1.0 / ALL, AGE), 0);
