Group a configuration's peers, and play groups in place of one membership

Need: 5,700 named peers were refused, each datagram and each send looked through all of them, the log named all, and the module's messages went to all. Change: peer_groups names a size and zones; bad input is a line with file, key, value and what is allowed (G-...), and at SIGHUP what was in force stays; a file without members, or of another proxy, says so in the log. Names and addresses are found by hash both ways. Members plays Groups; of more than one group the module's messages are not sent, quotas go by the share, and each group divides its own part of the budgets (one too small for that is refused, a tenant's is left to the module). MEMBERS adds age, groups, group and speaker; GROUPS and MEMBER NAME are new. With one group all is as before, but that a list in the log names twelve at the most.

--- a/proxy/src/main/java/dockrelay/proxy/Config.java
+++ b/proxy/src/main/java/dockrelay/proxy/Config.java
@@ -4,9 +4,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import dockrelay.Balancer.Settings;
-import dockrelay.Balancer.Tenant;
 import dockrelay.fleet.budget.Budget;
-import dockrelay.fleet.budget.BudgetException;
 import dockrelay.settings.Json;
 import dockrelay.settings.SettingException;
 import dockrelay.settings.SettingsReader;
@@ -22,16 +20,15 @@
 
 /**
  * What the proxy is told at its start. Times are in microseconds. Where {@code peers} is an object, its names
- * are the members of the deployment, this proxy's own among them; a plain list of addresses names nobody.
+ * are the members of the deployment, this proxy's own among them, in groups; a plain list of addresses names
+ * nobody, and groups are null.
  */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
               int memory, Map<?, ?> known, Settings settings, long connectTimeout, long connectionIdle,
               boolean retryAfter, InetSocketAddress console, InetSocketAddress peerListen,
-              List<InetSocketAddress> peers, InetSocketAddress peersAll, List<String> members,
-              List<Budget> budgets, List<String> retired, Set<String> streaming) {
+              PeerDirectory peers, InetSocketAddress peersAll, PeerGroups groups, List<Budget> budgets,
+              List<String> retired, Set<String> streaming) {
     private static final double MICROS = 1_000_000;
-    /** Copies, hedges and retries of all proxies together. */
-    private static final Set<String> BUDGETS = Set.of("extra");
 
     /** Whatever is wrong is told in one line, with the file. */
     static Config read(Path file) throws ConfigException {
@@ -60,17 +57,22 @@
     private static Config of(Map<?, ?> top) {
         Map<?, ?> settings = map(top, "settings");
         Map<?, ?> allowed = map(settings, "Permissions");
+        PeerDirectory peers = peers(top);
+        // What belongs to peers is not even loaded where there are none: each start would pay for it.
+        PeerGroups groups = peers.names().isEmpty() && !top.containsKey(PeerGroups.KEY) ? null
+            : PeerGroups.read(top, peers);
+        Settings read = SettingsReader.read(settings);
         return new Config(text(top, "name"), address("listen", text(top, "listen")),
             address("discovery", text(top, "discovery")),
             seed(text(top, "seed")), within(map(top, "limits"), "limits.", "sockets", 1024, 34),
             within(map(top, "limits"), "limits.", "memory_mb", 192, 16),
-            map(top, "known"), SettingsReader.read(settings),
+            map(top, "known"), read,
             (long) (number(allowed, "ConnectTimeout", 0.25) * MICROS),
             (long) (number(allowed, "ConnIdle", 15) * MICROS),
             !Boolean.FALSE.equals(allowed.get("RetryAfter")), maybe(top, "console"),
-            maybe(top, "peer_listen"), peers(top), maybe(top, "peers_all"),
-            map(top, "peers").keySet().stream().map(String.class::cast).toList(),
-            budgets(top, SettingsReader.read(settings)),
+            maybe(top, "peer_listen"), peers, maybe(top, "peers_all"), groups,
+            top.get("budgets") instanceof Map<?, ?> budgets ? BudgetsReader.read(budgets, read, groups)
+                : List.of(),
             list(top, "retired").stream().map(String.class::cast).toList(), streaming(settings));
     }
 
@@ -102,50 +104,33 @@
         throw new SettingException(path + key, value, "a whole number of at least " + least);
     }
 
-    /** Where {@code budgets} is there: those that it names, and each tenant's share. */
-    private static List<Budget> budgets(Map<?, ?> top, Settings settings) {
-        List<Budget> result = new ArrayList<>();
-        if (!(top.get("budgets") instanceof Map<?, ?> named)) {
-            return result;
-        }
-        named.forEach((name, value) -> {
-            if (!BUDGETS.contains(name) || !(value instanceof Map<?, ?>)) {
-                throw new BudgetException(BudgetException.Code.NAME, "budgets." + name + " = " + value
-                    + " is not known", "allowed are " + BUDGETS
-                    + ", each {\"per_second\": NUMBER, \"burst\": NUMBER}");
-            }
-            Map<?, ?> of = (Map<?, ?>) value;
-            Budget budget = Budget.perSecond((String) name, number(of, "per_second", 0));
-            result.add(of.containsKey("burst") ? new Budget(budget.name(), budget.rate(),
-                Math.round(number(of, "burst", 0) * Budget.ONE)) : budget);
-        });
-        for (Tenant tenant : settings.tenants()) {
-            if (tenant.quotaPerSecond() > 0) {
-                result.add(Budget.perSecond("tenant/" + tenant.name(), tenant.quotaPerSecond()));
-            }
-        }
-        return result;
-    }
-
-    private static List<InetSocketAddress> peers(Map<?, ?> top) {
+    private static PeerDirectory peers(Map<?, ?> top) {
         Map<?, ?> named = map(top, "peers");
+        List<String> names = new ArrayList<>();
+        named.keySet().forEach(name -> names.add((String) name));
         if (!named.isEmpty() && !named.containsKey(text(top, "name"))) {
             throw new IllegalArgumentException("peers: its own name " + text(top, "name")
-                + " is not among them: " + named.keySet());
+                + " is not among them: " + PeerGroups.some(names));
         }
         List<InetSocketAddress> result = new ArrayList<>();
-        named.forEach((name, value) -> result.add(peer("peers." + name, value)));
-        list(top, "peers").forEach(value -> result.add(peer("peers[" + result.size() + "]", value)));
-        return result;
+        named.forEach((name, value) -> result.add(address("peers." + name, value)));
+        list(top, "peers").forEach(value -> result.add(address("peers[" + result.size() + "]", value)));
+        return new PeerDirectory(names, result);
+    }
+
+    /** The names of the own group, its own among them. */
+    List<String> neighbours() {
+        return groups.beside(name);
     }
 
-    private static InetSocketAddress peer(String key, Object value) {
-        return address(key, value);
+    /** The own group's parts of the budgets; all of them where there is one group. */
+    List<Budget> groupBudgets() {
+        return BudgetsReader.parts(budgets, neighbours().size(), groups);
     }
 
     /** Whether the proxies are to know of each other. */
     boolean membership() {
-        return settings.limits().peers() && peerListen != null && !members.isEmpty();
+        return settings.limits().peers() && peerListen != null && groups != null;
     }
 
     private static InetSocketAddress address(String key, Object value) {
--- a/proxy/src/main/java/dockrelay/proxy/Console.java
+++ b/proxy/src/main/java/dockrelay/proxy/Console.java
@@ -49,14 +49,15 @@
     private final Operators operators;
     private final BooleanSupplier serving;
     private final Function<String, CompletableFuture<Void>> enforce;
-    private final Supplier<CompletableFuture<String>> members, budgets; // null where there are none
+    private final Members members; // null where there are none
+    private final Supplier<CompletableFuture<String>> budgets; // null where there are none
     private final Set<Channel> callers = new LinkedHashSet<>(); // the one that came first is first
     private final Channel listener;
 
     /** Told of a changed backend, {@code enforce} says when the change is in force; no members, no such
      * call. */
     Console(InetSocketAddress address, Operators operators, BooleanSupplier serving,
-            Function<String, CompletableFuture<Void>> enforce, Supplier<CompletableFuture<String>> members,
+            Function<String, CompletableFuture<Void>> enforce, Members members,
             Supplier<CompletableFuture<String>> budgets) {
         this.budgets = budgets;
         this.members = members;
@@ -96,7 +97,12 @@
                 return CompletableFuture.completedFuture(serving.getAsBoolean() ? "200 serving"
                     : "400 not serving");
             } else if ("MEMBERS".equals(words[0]) && words.length == 1 && members != null) {
-                return members.get();
+                return members.describe();
+            } else if ("GROUPS".equals(words[0]) && words.length == 1 && members != null) {
+                return members.describeGroups();
+            } else if ("MEMBER".equals(words[0]) && members != null) {
+                return words.length == 2 && !words[1].isEmpty() ? members.describe(words[1])
+                    : CompletableFuture.completedFuture("400 usage: MEMBER NAME");
             } else if ("BUDGETS".equals(words[0]) && words.length == 1 && budgets != null) {
                 return budgets.get();
             } else if ("DETACH".equals(words[0]) || "ATTACH".equals(words[0])) {
@@ -119,7 +125,8 @@
             return CompletableFuture.completedFuture("400 cannot keep the change: nothing is changed");
         }
         return CompletableFuture.completedFuture("400 calls are PING, DETACH ID and ATTACH ID"
-            + (members == null ? "" : ", and MEMBERS") + (budgets == null ? "" : ", and BUDGETS"));
+            + (members == null ? "" : ", and MEMBERS, GROUPS and MEMBER NAME")
+            + (budgets == null ? "" : ", and BUDGETS"));
     }
 
     /** One caller. */
--- a/proxy/src/main/java/dockrelay/proxy/FleetBudgets.java
+++ b/proxy/src/main/java/dockrelay/proxy/FleetBudgets.java
@@ -21,7 +21,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 
-/** Plays the budgets' machine for real, on the members' thread; the module spends on its own. */
+/**
+ * Plays the budgets' machine for real, on the members' thread; the module spends on its own. In a fleet of
+ * several groups each group divides its own part, by the number of its names: nothing is lent between groups.
+ */
 final class FleetBudgets implements Budgets.Actions {
     private static final long REPORT_MILLIS = 100;
     /** One that is held gone for so long has no vote any more, so that the others' go on sufficing. */
@@ -42,8 +45,8 @@
         this.sender = sender;
         long now = now();
         this.reportedAt = now;
-        this.machine = new Budgets(config.name(), config.members(), config.budgets(), life, BudgetPace.USUAL,
-            random, this, now);
+        this.machine = new Budgets(config.name(), config.neighbours(), config.groupBudgets(), life,
+            BudgetPace.USUAL, random, this, now);
         machine.retired(now, config.retired());
         schedule();
         table.loop().scheduleWithFixedDelay(this::report, REPORT_MILLIS, REPORT_MILLIS,
@@ -88,7 +91,7 @@
     }
 
     void configure(Config next) {
-        machine.configure(now(), next.members(), next.budgets());
+        machine.configure(now(), next.neighbours(), next.groupBudgets());
         machine.retired(now(), next.retired());
     }
 
--- a/proxy/src/main/java/dockrelay/proxy/Members.java
+++ b/proxy/src/main/java/dockrelay/proxy/Members.java
@@ -3,12 +3,13 @@
 import dockrelay.Balancer.Agreement;
 import dockrelay.Balancer.Fleet;
 import dockrelay.fleet.Change;
-import dockrelay.fleet.Membership;
 import dockrelay.fleet.Pace;
 import dockrelay.fleet.Row;
 import dockrelay.fleet.Standing;
 import dockrelay.fleet.State;
 import dockrelay.fleet.budget.Budgets;
+import dockrelay.fleet.group.Grouping;
+import dockrelay.fleet.group.Groups;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -23,22 +24,26 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /**
  * Plays the membership machine for real: its socket, its clock, its thread, so that neither a busy event loop
- * keeps it from answering nor a flood of datagrams a request from its answer.
+ * keeps it from answering nor a flood of datagrams a request from its answer. Nothing here looks through all
+ * names of the fleet but a change of the list.
  */
-final class Members implements Membership.Actions {
+final class Members implements Groups.Actions {
     private static final long TELL_MILLIS = 250, RETRY_MILLIS = 100, LOG_MILLIS = 200;
     /** So many incarnations are taken at a time: each suspicion that is countered uses one up. */
     private static final long RESERVED = 10_000;
+    /** A caller of the console waits 1 s; by then it is told that nobody knows. */
+    private static final long FIND_MILLIS = 800;
     /** A line of the log ends before it is cut. */
     private static final int LONGEST_LINE = 400;
 
@@ -51,7 +56,8 @@
     private final Random random;
     private final List<String> news = new ArrayList<>();
     private Config config;
-    private Membership machine;
+    private Groups machine;
+    private final Map<String, CompletableFuture<Row>> sought = new HashMap<>();
     private long suspicions, clashes, reserved;
     private final RequestTable table;
     private FleetBudgets budgets; // null where the configuration names none
@@ -85,8 +91,8 @@
         // What others remember of a higher one is countered; the wall clock only makes that rare.
         long incarnation = Math.max(kept() + 1, System.currentTimeMillis() / 1000);
         int life = random.nextInt() | 1;
-        machine = new Membership(config.name(), config.members(), incarnation, life, Pace.USUAL, random, this,
-            now());
+        machine = new Groups(config.name(), config.groups().grouping(), incarnation, life, Pace.USUAL, random,
+            this, now());
         if (!config.budgets().isEmpty()) {
             budgets = new FleetBudgets(loop, table, config, life, new Random(random.nextLong()), this::send);
             spending = budgets;
@@ -114,16 +120,16 @@
         }
     }
 
-    private void receive(int from, ByteBuf content) {
+    private void receive(String from, ByteBuf content) {
         if (machine != null && !ended) {
             ByteBuffer bytes = content.nioBuffer();
             if (bytes.hasRemaining() && Budgets.ours(bytes.get(0))) {
                 if (budgets != null) {
-                    guarded(() -> budgets.receive(from < 0 ? null : config.members().get(from), bytes));
+                    guarded(() -> budgets.receive(from, bytes));
                 }
                 return;
             }
-            guarded(() -> machine.receive(now(), from < 0 ? null : config.members().get(from), bytes));
+            guarded(() -> machine.receive(now(), from, bytes));
         }
     }
 
@@ -134,13 +140,14 @@
             }
             Standing standing = machine.standing(now());
             told.accept(new Fleet(standing.members(), standing.me(), standing.share(), standing.leastShare(),
-                Agreement.valueOf(standing.agreement().name()), 0, 0));
+                Agreement.valueOf(standing.agreement().name()), 0, config.groups().grouping().single() ? 0
+                    : Math.max(1, standing.age()))); // also where nothing of the others counts any more
         }
     }
 
     @Override
     public void send(String to, ByteBuffer datagram) {
-        peers.send(config.members().indexOf(to), Unpooled.wrappedBuffer(datagram));
+        peers.send(to, Unpooled.wrappedBuffer(datagram));
     }
 
     /** Suspicions come and go with lost datagrams: they are counted, all else is told of. */
@@ -212,9 +219,16 @@
     /** Goes by another list of peers; where its own name or a name is not usable nothing changes. */
     void configure(Config next) {
         loop.execute(() -> guarded(() -> {
-            if (machine != null && !next.members().equals(config.members())) {
-                machine.configure(now(), next.members());
-                Log.line("members", "the list is now " + next.members());
+            if (!next.name().equals(config.name())) {
+                Log.line("reload", "name is " + next.name() + " in the file, this process is "
+                    + config.name() + "; the peers that were in force stay so");
+                return;
+            }
+            if (!next.groups().same(config.groups())) {
+                if (machine != null) {
+                    machine.configure(now(), next.groups().grouping());
+                }
+                Log.line("members", listed(next));
             }
             config = next;
             peers.configure(next);
@@ -224,6 +238,20 @@
         }));
     }
 
+    private String listed(Config next) {
+        Grouping grouping = next.groups().grouping();
+        String names = PeerGroups.some(next.peers().names());
+        if (grouping.single() && config.groups().grouping().single()) {
+            return "the list is now " + names;
+        }
+        long fresh = next.peers().names().stream().filter(name -> !config.peers().names(name)).count();
+        int own = grouping.groupOf(next.name());
+        return "the list is now of " + grouping.size() + " names, " + fresh + " new and "
+            + (config.peers().size() + fresh - grouping.size()) + " off it, in " + grouping.groups()
+            + (grouping.single() ? " group" : " groups") + "; its own is " + grouping.label(own) + " of "
+            + grouping.names(own).size() + ": " + names;
+    }
+
     /**
      * On the module's thread: nothing of the fleet's budgets is spent any more, so they can be given back.
      */
@@ -268,33 +296,62 @@
         group.shutdownGracefully(0, 500, TimeUnit.MILLISECONDS);
     }
 
-    /** What the console answers: a line for all, then one a member. */
+    /** What the console answers: a line for all, then one a member of the own group. */
     CompletableFuture<String> describe() {
-        return CompletableFuture.supplyAsync(() -> {
-            if (machine == null || ended) {
-                return "400 not a member: " + (ended ? "the next process is" : "its address is taken");
-            }
+        return answered(() -> {
             long now = now();
             Standing standing = machine.standing(now);
-            StringBuilder text = new StringBuilder(String.format(Locale.ROOT,
-                "200 present=%d of=%d agreement=%s "
-                + "agreeing=%d digest=%s counted=%d share=%.6f health=%d suspicions=%d clashes=%d",
-                    standing.present(),
-                standing.configured(), standing.agreement().name().toLowerCase(Locale.ROOT),
-                    standing.agreeing(),
-                machine.digest(), standing.members(), standing.share(), machine.health(), suspicions,
-                clashes));
+            Grouping grouping = config.groups().grouping();
+            StringBuilder text = new StringBuilder(MembersText.figures(standing, machine.digest(),
+                machine.health(), suspicions, clashes));
+            text.append(MembersText.place(standing, grouping.groups(),
+                grouping.label(grouping.groupOf(config.name())), machine.speaker()));
             for (Row row : machine.rows(now)) {
-                text.append(String.format(Locale.ROOT, "%n%s %s for=%.1fs by=%s incarnation=%d%s%s%s",
-                    row.name(),
-                    row.state().name().toLowerCase(Locale.ROOT), row.since() / 1e6, row.by(),
-                        row.incarnation(),
-                    row.wordAge() < 0 ? "" : String.format(Locale.ROOT, " word=%.1fs", row.wordAge() / 1e6),
-                    row.sameList() ? "" : " other-list", row.differsIn().isEmpty() ? "" : String.format(
-                        Locale.ROOT, " differs=%s for=%.1fs", String.join(",", row.differsIn()),
-                        row.differsFor() / 1e6)));
+                text.append(System.lineSeparator()).append(MembersText.member(row));
             }
-            return text.toString();
-        }, loop);
+            return CompletableFuture.completedFuture(text.toString());
+        });
+    }
+
+    /** What the console answers of the groups: a line for all, then one a group. */
+    CompletableFuture<String> describeGroups() {
+        return answered(() -> CompletableFuture.completedFuture(MembersText.groups(machine.groups(now()))));
+    }
+
+    /** What the console answers of one member, whom another group may have to be asked for. */
+    CompletableFuture<String> describe(String name) {
+        return answered(() -> {
+            Grouping grouping = config.groups().grouping();
+            int group = grouping.groupOf(name);
+            if (group < 0) {
+                return CompletableFuture.completedFuture("400 " + name + " is no name of peers here");
+            }
+            CompletableFuture<Row> asked = sought.get(name);
+            if (asked == null) {
+                asked = new CompletableFuture<Row>().completeOnTimeout(null, FIND_MILLIS,
+                    TimeUnit.MILLISECONDS);
+                sought.put(name, asked);
+                asked.whenCompleteAsync((row, failure) -> sought.remove(name), loop);
+                machine.find(now(), name);
+            }
+            return asked.thenApply(row -> row == null ? "400 no answer of group " + grouping.label(group)
+                + ": GROUPS tells whether it is heard" : "200 group=" + grouping.label(group)
+                + System.lineSeparator() + MembersText.member(row));
+        });
+    }
+
+    @Override
+    public void found(String name, Row row) {
+        CompletableFuture<Row> asked = sought.get(name);
+        if (asked != null) {
+            asked.complete(row);
+        }
+    }
+
+    /** On the members' thread, once there is a machine. */
+    private CompletableFuture<String> answered(Supplier<CompletableFuture<String>> answer) {
+        return CompletableFuture.supplyAsync(() -> machine != null && !ended ? answer.get()
+            : CompletableFuture.completedFuture("400 not a member: " + (ended ? "the next process is"
+                : "its address is taken")), loop).thenCompose(later -> later);
     }
 }
--- /dev/null
+++ b/proxy/src/main/java/dockrelay/proxy/PeerGroups.java
@@ -0,0 +1,132 @@
+package dockrelay.proxy;
+
+import dockrelay.fleet.group.GroupException;
+import dockrelay.fleet.group.Grouping;
+import dockrelay.proxy.PeerGroupsException.Code;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * How the named peers are to be grouped ({@code peer_groups}): the size that is aimed at, and who is in which
+ * zone. Where the configuration does not say, all are in one zone without a name.
+ */
+record PeerGroups(int size, Map<String, List<String>> zones, Grouping grouping) {
+    static final String KEY = "peer_groups";
+    private static final String SIZE = KEY + ".size", ZONES = KEY + ".zones";
+    /** So many names are told of in a line. */
+    private static final int MOST_TOLD = 12, LONGEST_VALUE = 60;
+
+    /** Of peers of which each has a name, or with the key given. */
+    static PeerGroups read(Map<?, ?> top, PeerDirectory peers) {
+        Object given = top.get(KEY);
+        if (given == null) {
+            return of(Grouping.USUAL_SIZE, Map.of("", peers.names()), peers);
+        }
+        if (peers.names().isEmpty()) {
+            throw new PeerGroupsException(Code.SHAPE, KEY, "given where peers names nobody",
+                "make peers an object {NAME: \"HOST:PORT\", ...}, or leave it out");
+        }
+        if (!(given instanceof Map<?, ?> map)) {
+            throw shape(KEY, given, "an object {\"size\": NUMBER, \"zones\": {ZONE: [NAME, ...], ...}}");
+        }
+        map.forEach((key, value) -> {
+            if (!"size".equals(key) && !"zones".equals(key)) {
+                throw shape(KEY + "." + key, value, "a size and zones, nothing else");
+            }
+        });
+        return of(size(map.get("size")), zones(map.get("zones"), peers), peers);
+    }
+
+    private static int size(Object value) {
+        if (value == null) {
+            return Grouping.USUAL_SIZE;
+        }
+        if (value instanceof Number number && number.doubleValue() == number.intValue()) {
+            return number.intValue();
+        }
+        throw shape(SIZE, value, "a whole number of " + Grouping.LEAST_SIZE + " to " + Grouping.MOST_SIZE);
+    }
+
+    private static Map<String, List<String>> zones(Object value, PeerDirectory peers) {
+        if (value == null) {
+            return Map.of("", peers.names());
+        }
+        if (!(value instanceof Map<?, ?> map) || map.isEmpty()) {
+            throw shape(ZONES, value, "an object {ZONE: [NAME, ...], ...}");
+        }
+        Map<String, List<String>> result = new LinkedHashMap<>();
+        map.forEach((zone, in) -> {
+            if (((String) zone).isBlank()) {
+                throw new GroupException(GroupException.Code.ZONE, ZONES, "with a zone \"" + zone + "\"",
+                    "give each zone a name, or leave zones out where there is one");
+            }
+            List<String> names = new ArrayList<>();
+            for (Object name : in instanceof List<?> list ? list : List.of(0)) {
+                if (!(name instanceof String text)) {
+                    throw shape(ZONES + "." + zone, in, "a list of names");
+                }
+                names.add(text);
+            }
+            result.put((String) zone, names);
+        });
+        return result;
+    }
+
+    private static PeerGroups of(int size, Map<String, List<String>> zones, PeerDirectory peers) {
+        Grouping grouping;
+        try {
+            grouping = Grouping.of(zones, size);
+        } catch (GroupException e) {
+            throw switch (e.code()) {
+                case SIZE -> new GroupException(e.code(), SIZE, e.value(), e.allowed());
+                case NAME, ALIKE, TOO_MANY -> new GroupException(e.code(), "peers: " + e.key(), e.value(),
+                    e.allowed());
+                default -> new GroupException(e.code(), ZONES + ": " + e.key(), e.value(), e.allowed());
+            };
+        }
+        zones.forEach((zone, names) -> names.forEach(name -> {
+            if (!peers.names(name)) {
+                throw new PeerGroupsException(Code.UNKNOWN, ZONES + "." + zone, "with \"" + name + "\"",
+                    "allowed are names that peers has");
+            }
+        }));
+        if (grouping.size() < peers.size()) {
+            throw new PeerGroupsException(Code.UNPLACED, ZONES, "without " + some(peers.names().stream()
+                .filter(name -> grouping.groupOf(name) < 0).toList()), "put each of peers into one zone");
+        }
+        return new PeerGroups(size, zones, grouping);
+    }
+
+    /** In one line, however many they are. */
+    static String some(List<String> names) {
+        return names.size() <= MOST_TOLD ? names.toString()
+            : names.subList(0, MOST_TOLD) + " and " + (names.size() - MOST_TOLD) + " more";
+    }
+
+    private static PeerGroupsException shape(String key, Object value, String allowed) {
+        String text = value instanceof String ? "\"" + value + "\"" : String.valueOf(value);
+        return new PeerGroupsException(Code.SHAPE, key, text.length() > LONGEST_VALUE
+            ? text.substring(0, LONGEST_VALUE) + "..." : text, "allowed is " + allowed);
+    }
+
+    /** Whether both come to the same groups of the same names. */
+    boolean same(PeerGroups other) {
+        return size == other.size && zones.equals(other.zones);
+    }
+
+    /** The names of the own group, in the order that all see alike. */
+    List<String> beside(String name) {
+        return grouping.names(grouping.groupOf(name));
+    }
+
+    /** How many names the smallest group has, and each other one at least. */
+    int smallest() {
+        int least = Integer.MAX_VALUE;
+        for (int i = 0; i < grouping.groups(); i++) {
+            least = Math.min(least, grouping.names(i).size());
+        }
+        return least;
+    }
+}
--- a/proxy/src/main/java/dockrelay/proxy/Peers.java
+++ b/proxy/src/main/java/dockrelay/proxy/Peers.java
@@ -1,7 +1,7 @@
 package dockrelay.proxy;
 
-import dockrelay.fleet.Membership;
 import dockrelay.fleet.budget.Budgets;
+import dockrelay.fleet.group.Groups;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -12,6 +12,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 
@@ -25,9 +26,9 @@
     private static final long WINDOW_MILLIS = 50;
     private static final int MOST = 100, MOST_EACH = 10;
 
-    /** Takes what a peer sent, by its place in the configuration's list; below 0 where it has none there. */
+    /** Takes what a peer sent, by the name that its address has here; null where it has none. */
     interface Receiver {
-        void receive(int from, ByteBuf content);
+        void receive(String from, ByteBuf content);
     }
 
     private final EventLoop loop;
@@ -98,38 +99,50 @@
     }
 
     private void taken(ChannelHandlerContext context, DatagramPacket packet) {
-        int from = config.peers().indexOf(packet.sender()); // the address is all that tells who it is
+        int from = config.peers().at(packet.sender()); // the address is all that tells who it is
         ByteBuf content = packet.content();
-        if (members != null && ++read >= MOST + MOST_EACH * config.peers().size()) {
+        if (members != null && ++read >= MOST + MOST_EACH * config.neighbours().size()) {
             context.channel().config().setAutoRead(false);
         }
         if (members != null && content.isReadable()
-            && (from < 0 || Membership.ours(content.getByte(content.readerIndex()))
+            && (from < 0 || Groups.ours(content.getByte(content.readerIndex()))
             || Budgets.ours(content.getByte(content.readerIndex())))) {
-            members.receive(from, content);
-        } else if (from >= 0) {
+            members.receive(config.peers().name(from), content);
+        } else if (from >= 0 && toldToAll()) {
             String message = content.toString(StandardCharsets.UTF_8);
             table.loop().execute(() -> table.peerMessage(from, message));
         }
     }
 
+    /**
+     * The module tells each other proxy what each tenant asks of it, and hears as much: that is not for a
+     * fleet of more than one group, where the bytes would grow with tenants and with proxies.
+     */
+    private boolean toldToAll() {
+        return config.groups() == null || config.groups().grouping().single();
+    }
+
     /** Goes by another list of peers. */
     void configure(Config next) {
         config = next;
     }
 
     /** Sends to one of them; what cannot be sent is lost. */
-    void send(int to, ByteBuf content) {
+    void send(String to, ByteBuf content) {
         Channel here = channel;
-        if (here == null) {
+        InetSocketAddress address = config.peers().address(to);
+        if (here == null || address == null) {
             content.release();
         } else {
-            here.writeAndFlush(new DatagramPacket(content, config.peers().get(to)), here.voidPromise());
+            here.writeAndFlush(new DatagramPacket(content, address), here.voidPromise());
         }
     }
 
-    /** Tells every other proxy: a longer message than may be sent is left out. */
+    /** Tells every other proxy, in a fleet of one group: a longer message than may be sent is left out. */
     void tell(String message) {
+        if (!toldToAll()) {
+            return;
+        }
         ByteBuf bytes = Unpooled.copiedBuffer(message, StandardCharsets.UTF_8);
         Channel here = channel;
         if (here == null) {
@@ -141,7 +154,7 @@
         } else {
             for (int i = 0; i < config.peers().size(); i++) {
                 if (i != config.settings().me()) {
-                    here.write(new DatagramPacket(bytes.retainedDuplicate(), config.peers().get(i)));
+                    here.write(new DatagramPacket(bytes.retainedDuplicate(), config.peers().address(i)));
                 }
             }
             here.flush();
--- a/proxy/src/main/java/dockrelay/proxy/Proxy.java
+++ b/proxy/src/main/java/dockrelay/proxy/Proxy.java
@@ -129,9 +129,7 @@
         loop.execute(() -> discovery.start(config.known()));
         console = platform.console() == null ? null
             : new Console(platform.console(), operators, () -> accepting && ready(), this::enforce,
-                members == null ? null : members::describe, config.budgets().isEmpty() || members == null ?
-                    null
-                : members::describeBudgets);
+                members, config.budgets().isEmpty() || members == null ? null : members::describeBudgets);
         succession = console == null || platform.folder() == null ? null : new Succession(platform.folder());
         if (succession != null) {
             console.every(LOOK_MILLIS, this::lookAround);
@@ -263,6 +261,11 @@
             loop.execute(() -> discovery.move(next.discovery()));
             if (members != null && next.membership()) {
                 members.configure(next);
+            } else if (members != null) {
+                Log.line("reload", file + ": no members are named, or Peers is false: those that were in"
+                    + " force stay so until a restart");
+            } else if (next.membership()) {
+                Log.line("reload", file + ": members are named: they are taken up by a restart");
             }
         } catch (ConfigException e) {
             Log.line("reload", e.getMessage() + "; what was in force stays so");
--- /dev/null
+++ b/proxy/src/test/java/dockrelay/proxy/PeerGroupsTest.java
@@ -0,0 +1,160 @@
+package dockrelay.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockrelay.fleet.budget.Budget;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** How a configuration groups its peers, and what it says of one that it cannot. */
+class PeerGroupsTest {
+    private static final String SIX = "{\"a\":[\"n0\",\"n1\",\"n2\"],\"b\":[\"n3\",\"n4\"],\"c\":[\"n5\"]}";
+    @TempDir
+    Path folder;
+    private Path file;
+
+    @BeforeEach
+    void name() {
+        file = folder.resolve("config.json");
+    }
+
+    private static String text(int me, String peers, String more, String tenants) {
+        return "{\"name\":\"n" + me + "\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\","
+            + "\"seed\":\"1\",\"peer_listen\":\"127.0.0.1:1\",\"peers\":" + peers + "," + more
+            + "\"settings\":{\"Permissions\":{\"Peers\":true},\"Tenants\":[" + tenants + "],"
+            + "\"Services\":[{\"Name\":\"look\",\"Aim\":1.0,\"HardLimit\":5.0}]}}";
+    }
+
+    private static String peers(int count) {
+        return IntStream.range(0, count).mapToObj(i -> "\"n" + i + "\":\"127.0.0.1:" + (20_000 + i) + "\"")
+            .collect(Collectors.joining(",", "{", "}"));
+    }
+
+    private static String groups(String value) {
+        return value.isEmpty() ? "" : "\"peer_groups\":" + value + ",";
+    }
+
+    private static Config config(int me, int count, String groups) {
+        return Fakes.parsed(text(me, peers(count), groups(groups), ""));
+    }
+
+    @Test
+    void withoutAWordOfGroupsAllAreInOneUpToOneAndAHalfTimesItsSize() {
+        assertTrue(config(0, 3, "").groups().grouping().single());
+        assertTrue(config(0, 96, "").groups().grouping().single());
+        assertEquals(2, config(0, 97, "").groups().grouping().groups());
+        assertEquals(3, config(0, 97, "{\"size\":32}").groups().grouping().groups());
+        assertNull(Fakes.parsed(text(0, "[\"127.0.0.1:7\"]", "", "")).groups());
+    }
+
+    @Test
+    void zonesAreGroupsOfTheirOwn() {
+        Config config = config(3, 6, "{\"zones\":" + SIX + "}");
+        assertEquals(3, config.groups().grouping().groups());
+        assertEquals(List.of("n3", "n4"), config.neighbours());
+        assertEquals("b/1", config.groups().grouping().label(config.groups().grouping().groupOf("n3")));
+    }
+
+    /** The order of a file's names is nothing that one group could differ in from the next. */
+    @Test
+    void aChangeOfZonesOrSizeIsAChange() {
+        PeerGroups one = config(0, 6, "{\"zones\":" + SIX + "}").groups();
+        assertTrue(one.same(config(4, 6, "{\"size\":64,\"zones\":" + SIX + "}").groups()));
+        for (String other : List.of("", "{\"size\":48,\"zones\":" + SIX + "}",
+            "{\"zones\":{\"a\":[\"n0\",\"n1\",\"n2\",\"n3\"],\"b\":[\"n4\"],\"c\":[\"n5\"]}}")) {
+            assertTrue(!one.same(config(0, 6, other).groups()), other);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', textBlock = """
+        {"size":31} | G-SIZE: peer_groups.size is 31; allowed are 32 to 128
+        {"size":129} | G-SIZE: peer_groups.size is 129; allowed are 32 to 128
+        {"size":64.5} | G-SHAPE: peer_groups.size is 64.5; allowed is a whole number of 32 to 128
+        {"size":"64"} | G-SHAPE: peer_groups.size is "64"; allowed is a whole number of 32 to 128
+        7 | G-SHAPE: peer_groups is 7; \
+        allowed is an object {"size": NUMBER, "zones": {ZONE: [NAME, ...], ...}}
+        {"zone":{}} | G-SHAPE: peer_groups.zone is {}; allowed is a size and zones, nothing else
+        {"zones":{}} | G-SHAPE: peer_groups.zones is {}; allowed is an object {ZONE: [NAME, ...], ...}
+        {"zones":{"a":"n0"}} | G-SHAPE: peer_groups.zones.a is "n0"; allowed is a list of names
+        {"zones":{"a":["n0",1]}} | G-SHAPE: peer_groups.zones.a is [n0, 1]; allowed is a list of names
+        {"zones":{" ":["n0","n1","n2"]}} | G-ZONE: peer_groups.zones is with a zone " "; \
+        give each zone a name, or leave zones out where there is one
+        {"zones":{"":["n0","n1","n2"]}} | G-ZONE: peer_groups.zones is with a zone ""; \
+        give each zone a name, or leave zones out where there is one
+        {"zones":{"a":["n0","n1","n2"],"b":[]}} | G-EMPTY: peer_groups.zones: \
+        zone is "b" without a name in it; give it one or leave it out
+        {"zones":{"a":["n0","n1","n2"],"b":["n1"]}} | G-TWICE: peer_groups.zones: \
+        name is "n1" in zone "a" and in zone "b"; name it once
+        {"zones":{"a":["n0","n1","n2","n9"]}} | G-UNKNOWN: peer_groups.zones.a is with "n9"; \
+        allowed are names that peers has
+        {"zones":{"a":["n0","n2"]}} | G-UNPLACED: peer_groups.zones is without [n1]; \
+        put each of peers into one zone
+        """)
+    void whatCannotBeIsOneLineWithFileKeyValueAndWhatIsAllowed(String given, String line) throws Exception {
+        assertEquals(file + ": " + line, refused(text(0, peers(3), groups(given), "")));
+    }
+
+    private String refused(String text) throws Exception {
+        Files.writeString(file, text);
+        return assertThrows(ConfigException.class, () -> Config.read(file)).getMessage();
+    }
+
+    @Test
+    void listsThatAreTooLongAreToldInAShortLine() throws Exception {
+        assertEquals(file + ": G-TOO_MANY: peers: number of names is 16385; allowed are 1 to 16384",
+            refused(text(0, peers(16_385), "", "")));
+        String unplaced = refused(text(0, peers(5_700), groups("{\"zones\":{\"a\":[\"n0\"]}}"), ""));
+        assertTrue(unplaced.contains("n12] and 5687 more; put each"), unplaced);
+        String absent = refused(text(5_700, peers(5_700), "", ""));
+        assertTrue(absent.endsWith("n11] and 5688 more"), absent);
+        String nobody = refused(text(0, "[\"127.0.0.1:7\"]", groups("{\"size\":64}"), ""));
+        assertTrue(nobody.contains(": G-SHAPE: peer_groups is given where peers names nobody"), nobody);
+    }
+
+    private static Config budgets(int me, int count, String groups, String budget, String tenants) {
+        return Fakes.parsed(text(me, peers(count), groups(groups) + "\"budgets\":{" + budget + "},",
+            tenants));
+    }
+
+    /** In one group the whole; in several each has its part by the number of its names, no more in all. */
+    @Test
+    void aGroupHasItsPartOfEachBudget() {
+        String extra = "\"extra\":{\"per_second\":20,\"burst\":40}";
+        String tenant = "{\"Name\":\"t\",\"QuotaRps\":100},{\"Name\":\"small\",\"QuotaRps\":7}";
+        Config single = budgets(0, 6, "", extra, tenant);
+        assertEquals(single.budgets(), single.groupBudgets());
+        assertEquals(List.of("extra", "tenant/t", "tenant/small"), single.budgets().stream().map(Budget::name)
+            .toList());
+        long rate = 0, burst = 0;
+        for (int one : new int[] {0, 3, 5}) { // of each group
+            List<Budget> parts = budgets(one, 6, "{\"zones\":" + SIX + "}", extra, tenant).groupBudgets();
+            assertEquals(List.of("extra", "tenant/t"), parts.stream().map(Budget::name).toList(),
+                "a tenant's that is too small to be divided is left to the module");
+            rate += parts.get(0).rate();
+            burst += parts.get(0).burst();
+        }
+        assertTrue(rate <= 20 * Budget.ONE && rate > 19.99 * Budget.ONE, "" + rate);
+        assertTrue(burst <= 40 * Budget.ONE && burst > 39.99 * Budget.ONE, "" + burst);
+    }
+
+    /** Rather than that each group lends its least, which would be over the whole. */
+    @Test
+    void aBudgetTooSmallToBeDividedIsRefused() throws Exception {
+        String budgets = "\"budgets\":{\"extra\":{\"per_second\":20,\"burst\":11}},";
+        assertEquals(file + ": B-BURST: budget extra: burst of 11.0 is too little for 3 groups of 6 peers, "
+            + "the smallest of 1; allowed there is at least 12",
+            refused(text(0, peers(6), groups("{\"zones\":" + SIX + "}") + budgets, "")));
+    }
+}
--- /dev/null
+++ b/proxy/src/test/java/dockrelay/proxy/PeersProcessTest.java
@@ -0,0 +1,244 @@
+package dockrelay.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockrelay.proxy.Fakes.BackendFake;
+import dockrelay.proxy.Fakes.DiscoveryFake;
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Peers of a process of its own: what a configuration without them costs, and files that change them. */
+class PeersProcessTest {
+    private final BackendFake backend = new BackendFake(request -> Fakes.answer("200 OK", "", "one"));
+    private final DiscoveryFake discovery = new DiscoveryFake();
+    @TempDir
+    private Path folder;
+    private Process process;
+    private int port, console, peer;
+
+    @BeforeEach
+    void freePorts() throws IOException {
+        try (ServerSocket one = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+             ServerSocket two = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+             DatagramSocket three = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            port = one.getLocalPort();
+            console = two.getLocalPort();
+            peer = three.getLocalPort();
+        }
+        discovery.first(DiscoveryFake.list(2, true, Fakes.entry("s-1", backend.port(), "active")));
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+        backend.close();
+        discovery.close();
+    }
+
+    /** With these keys before all others. */
+    private void write(String keys) throws IOException {
+        Files.writeString(folder.resolve("config.json"), Fakes.text(port, discovery.port(), 1024, "", "")
+            .replaceFirst("\\{", "{" + keys).replaceFirst("\"Permissions\":\\{",
+                "\"Permissions\":{\"Peers\":true,"));
+    }
+
+    /** Its own name is n0; the others are nobody. */
+    private String peers(int count, String more) {
+        StringBuilder text = new StringBuilder("\"peer_listen\":\"127.0.0.1:" + peer + "\",\"peers\":{");
+        for (int i = 0; i < count; i++) {
+            text.append(i == 0 ? "" : ",").append("\"n" + i + "\":\"127.0.0.1:" + (i == 0 ? peer : i) + "\"");
+        }
+        return text + "}," + more;
+    }
+
+    private void start() throws Exception {
+        ProcessBuilder builder = new ProcessBuilder(
+            ProcessHandle.current().info().command().orElseThrow(), "-Xmx64m", "-XX:TieredStopAtLevel=1",
+            "-Xlog:class+load:file=" + folder.resolve("classes"), "-cp",
+            System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+            Main.class.getName(), "serve");
+        builder.environment().put("PROXY_CONFIG", folder.resolve("config.json").toString());
+        builder.environment().put("PROXY_CONSOLE", "127.0.0.1:" + console);
+        builder.environment().put("TMPDIR", Files.createDirectories(folder.resolve("tmp")).toString());
+        builder.redirectErrorStream(true).redirectOutput(new File(folder.toFile(), "log"));
+        process = builder.start();
+        Fakes.await("it serves", () -> call("PING").startsWith("200 "));
+    }
+
+    private String call(String line) {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), console)) {
+            socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.ISO_8859_1));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    private void reload() throws Exception {
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+    }
+
+    private void awaitLog(String text) {
+        Fakes.await(text, () -> read(folder.resolve("log")).contains(text));
+    }
+
+    private static String read(Path file) {
+        try {
+            return Files.readString(file, StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static List<String> names(Path of) throws IOException {
+        try (Stream<Path> all = Files.list(of)) {
+            return all.map(path -> path.getFileName().toString()).toList();
+        }
+    }
+
+    /** Sockets for datagrams that the process has, of either family. */
+    private int datagramSockets() throws IOException {
+        Path proc = Path.of("/proc", Long.toString(process.pid()));
+        Set<String> bound = new HashSet<>();
+        for (String table : List.of("net/udp", "net/udp6")) {
+            Files.readAllLines(proc.resolve(table)).stream().skip(1)
+                .forEach(line -> bound.add(line.trim().split(" +")[9]));
+        }
+        int count = 0;
+        for (String descriptor : names(proc.resolve("fd"))) {
+            try {
+                Matcher socket = Pattern.compile("socket:\\[(\\d+)\\]").matcher(Files.readSymbolicLink(
+                    proc.resolve("fd").resolve(descriptor)).toString());
+                count += socket.matches() && bound.contains(socket.group(1)) ? 1 : 0;
+            } catch (java.nio.file.NoSuchFileException e) {
+                continue; // closed meanwhile
+            }
+        }
+        return count;
+    }
+
+    private Set<String> threads() throws IOException {
+        Path tasks = Path.of("/proc", Long.toString(process.pid()), "task");
+        List<String> all = new ArrayList<>();
+        for (String task : names(tasks)) {
+            all.add(read(tasks.resolve(task).resolve("comm")).trim());
+        }
+        return all.stream().filter(name -> name.startsWith("peers")).collect(Collectors.toSet());
+    }
+
+    private boolean keepsIncarnation() throws IOException {
+        try (Stream<Path> all = Files.walk(folder.resolve("tmp"))) {
+            return all.anyMatch(path -> path.endsWith("incarnation"));
+        }
+    }
+
+    private List<String> machines() {
+        return read(folder.resolve("classes")).lines().filter(line -> line.contains("dockrelay.fleet."))
+            .toList();
+    }
+
+    /** The same process with them has each, so that this would notice. */
+    @Test
+    void withoutPeersThereIsNoSocketThreadFileOrClassOfThem() throws Exception {
+        write("");
+        start();
+        assertEquals(0, datagramSockets());
+        assertEquals(Set.of(), threads());
+        assertEquals(List.of(), machines(), "no class of the machines: no time either");
+        assertFalse(keepsIncarnation());
+        assertTrue(call("MEMBERS").startsWith("400 ") && call("GROUPS").startsWith("400 "));
+        process.destroy();
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        write(peers(3, ""));
+        start();
+        Fakes.await("its socket", () -> call("MEMBERS").startsWith("200 "));
+        assertEquals(1, datagramSockets());
+        assertFalse(threads().isEmpty() || machines().isEmpty());
+        assertTrue(keepsIncarnation());
+    }
+
+    @Test
+    void aReloadGoesByOtherGroupsAndABadFileLeavesThoseThereAre() throws Exception {
+        write(peers(3, ""));
+        start();
+        Fakes.await("one group", () -> call("MEMBERS").contains(" groups=1 group=1 "));
+        Path file = folder.resolve("config.json");
+        write(peers(3, "\"peer_groups\":{\"size\":20},"));
+        reload();
+        awaitLog("reload: " + file + ": G-SIZE: peer_groups.size is 20; allowed are 32 to 128; what was in "
+            + "force stays so");
+        assertTrue(call("MEMBERS").contains(" groups=1 group=1 "));
+        write(peers(4, "\"peer_groups\":{\"zones\":{\"a\":[\"n1\",\"n2\"],\"b\":[\"n0\",\"n3\"]}},"));
+        reload();
+        awaitLog("members: the list is now of 4 names, 1 new and 0 off it, in 2 groups; its own is b/1 of 2: "
+            + "[n0, n1, n2, n3]");
+        String members = call("MEMBERS");
+        assertTrue(members.contains(" groups=2 group=b/1 ") && members.contains("\nn3 ")
+            && !members.contains("\nn1 "), members);
+        assertTrue(call("MEMBER n0").startsWith("200 group=b/1\nn0 "), call("MEMBER n0"));
+        assertTrue(call("MEMBER n9").startsWith("400 n9 is no name of peers here"));
+        assertTrue(call("MEMBER").startsWith("400 usage: MEMBER NAME"));
+        write("");
+        reload();
+        awaitLog("reload: " + file + ": no members are named, or Peers is false: those that were in force "
+            + "stay so until a restart");
+        assertTrue(call("MEMBERS").contains(" groups=2 group=b/1 "));
+        write(peers(2, ""));
+        reload();
+        awaitLog("members: the list is now of 2 names, 0 new and 2 off it, in 1 group; its own is 1 of 2: "
+            + "[n0, n1]");
+    }
+
+    @Test
+    void aFileOfAnotherProxyChangesNoPeers() throws Exception {
+        write(peers(3, ""));
+        start();
+        Fakes.await("one group", () -> call("MEMBERS").startsWith("200 "));
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, read(file).replace("\"name\":\"n0\"", "\"name\":\"n1\""));
+        reload();
+        awaitLog("reload: name is n1 in the file, this process is n0; the peers that were in force stay so");
+    }
+
+    /** With the list in force, and none that was read in part. */
+    @Test
+    void aStartWithGroupsThatCannotBeEndsWithTheLine() throws Exception {
+        write(peers(3, "\"peer_groups\":{\"zones\":{\"a\":[\"n0\",\"n1\"],\"b\":[\"n1\",\"n2\"]}},"));
+        ProcessBuilder builder = new ProcessBuilder(
+            ProcessHandle.current().info().command().orElseThrow(), "-cp",
+            System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+            Main.class.getName(), "serve");
+        builder.environment().put("PROXY_CONFIG", folder.resolve("config.json").toString());
+        builder.redirectErrorStream(true).redirectOutput(new File(folder.toFile(), "log"));
+        process = builder.start();
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        assertEquals(1, process.exitValue());
+        assertTrue(read(folder.resolve("log")).contains(folder.resolve("config.json") + ": G-TWICE: "
+            + "peer_groups.zones: name is \"n1\" in zone \"a\" and in zone \"b\"; name it once"));
+    }
+}
