Compare groups, and ask for one member, by ctl

Need: operators of several groups see only one proxy's own group by MEMBERS. Change: ctl groups tells who holds which group how, ctl member NAME asks for one of any group; ctl members goes by a digest a group and by what all say of the whole.

--- a/control/src/main/java/dockrelay/control/Main.java
+++ b/control/src/main/java/dockrelay/control/Main.java
@@ -5,7 +5,8 @@
 
 /** Operators' commands. Exit codes: 0 done, 1 fell short, 2 misuse. */
 @Command(name = "ctl", mixinStandardHelpOptions = true, version = "ctl 0.1.0",
-    subcommands = {Ping.class, Members.class, Mark.Detach.class, Mark.Attach.class},
+    subcommands = {Ping.class, Members.class, Groups.class, Member.class, Mark.Detach.class,
+        Mark.Attach.class},
     description = "Speaks to one or many proxies at their consoles.", exitCodeListHeading = "Exit codes:%n",
     exitCodeList = {"0:done", "1:some did not answer, said no, or do not agree", "2:misuse"},
     footerHeading = "Examples:%n", footer = {"  ctl ping 127.0.0.1:12000 127.0.0.1:12001",
--- a/control/src/main/java/dockrelay/control/Members.java
+++ b/control/src/main/java/dockrelay/control/Members.java
@@ -1,11 +1,12 @@
 package dockrelay.control;
 
+import dockrelay.control.Views.View;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
+import java.util.stream.Collectors;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
@@ -25,36 +26,24 @@
     @Mixin
     Targets targets;
 
-    /** One proxy's word: figures of its first line, and a row a member. */
-    private record View(Map<String, String> figures, Map<String, Map<String, String>> members) {
-    }
-
     @Override
     public Integer call() throws InterruptedException {
-        Map<String, Consoles.Answer> answers = targets.call(consoles, "MEMBERS");
-        Map<String, View> views = new LinkedHashMap<>();
-        Map<String, String> troubles = new LinkedHashMap<>();
-        answers.forEach((console, answer) -> {
-            if (answer.yes()) {
-                views.put(console, view(answer.lines()));
-            } else {
-                troubles.put(console, answer.text());
-            }
-        });
+        Views answered = Views.of(targets.call(consoles, "MEMBERS"));
+        Map<String, View> views = answered.all();
+        Map<String, String> troubles = answered.troubles();
         Map<String, Map<String, List<String>>> states = new TreeMap<>(java.util.Comparator
             .comparingInt(String::length).thenComparing(java.util.Comparator.naturalOrder()));
-        views.forEach((console, view) -> view.members.forEach((member, row) -> states
+        views.forEach((console, view) -> view.rows().forEach((member, row) -> states
             .computeIfAbsent(member, m -> new TreeMap<>()).computeIfAbsent(row.get("state"),
                 s -> new ArrayList<>()).add(console)));
-        boolean agreed = troubles.isEmpty() && views.values().stream().map(view -> view.figures.get("digest"))
-            .distinct().count() == 1 && views.values().stream().allMatch(view -> "all".equals(view.figures
-            .get("agreement")));
+        // Each group's digest is its own; of the whole all have to say the same.
+        boolean agreed = troubles.isEmpty() && views.values().stream().collect(Collectors.groupingBy(
+            view -> view.figures().getOrDefault("group", ""), Collectors.mapping(view -> view.figures()
+            .get("digest"), Collectors.toSet()))).values().stream().allMatch(digests -> digests.size() == 1)
+            && views.values().stream().map(view -> view.figures().get("present")).distinct().count() == 1
+            && views.values().stream().allMatch(view -> "all".equals(view.figures().get("agreement")));
         if (targets.json) {
-            Map<String, Object> all = new LinkedHashMap<>();
-            all.put("agreed", agreed);
-            all.put("proxies", views);
-            all.put("unanswered", troubles);
-            System.out.println(Table.json(all));
+            System.out.println(Table.json(answered.json(agreed, "members")));
         } else {
             print(views, troubles, states);
         }
@@ -63,12 +52,16 @@
 
     private void print(Map<String, View> views, Map<String, String> troubles,
                        Map<String, Map<String, List<String>>> states) {
-        Table proxies = new Table("CONSOLE", "PRESENT", "AGREEMENT", "DIGEST", "SHARE", "HEALTH");
-        views.forEach((console, view) -> proxies.row(console, view.figures.get("present") + " of "
-            + view.figures.get("of"), view.figures.get("agreement") + " (" + view.figures.get("agreeing")
-                + ")",
-            view.figures.get("digest"), view.figures.get("share"), view.figures.get("health")));
-        troubles.forEach((console, why) -> proxies.row(console, "?", why, "", "", ""));
+        Table proxies = new Table("CONSOLE", "PRESENT", "AGREEMENT", "DIGEST", "SHARE", "HEALTH", "GROUP",
+            "AGE");
+        views.forEach((console, view) -> {
+            Map<String, String> said = view.figures();
+            proxies.row(console, said.get("present") + " of " + said.get("of"), said.get("agreement") + " ("
+                + said.get("agreeing") + ")", said.get("digest"), said.get("share"), said.get("health"),
+                said.getOrDefault("group", "") + ("yes".equals(said.get("speaker")) ? ", speaks" : ""),
+                said.getOrDefault("age", ""));
+        });
+        troubles.forEach((console, why) -> proxies.row(console, "?", why, "", "", "", "", ""));
         System.out.print(proxies);
         Table rows = new Table("MEMBER", "STATE", "SAID BY", "FOR", "WORD OF", "INCARNATION");
         states.forEach((member, held) -> held.forEach((state, by) -> {
@@ -84,35 +77,7 @@
     }
 
     private static void row(Table rows, String member, String state, String by, View view) {
-        Map<String, String> row = view.members.get(member);
+        Map<String, String> row = view.rows().get(member);
         rows.row(member, state, by, row.get("for"), row.get("by"), row.get("incarnation"));
     }
-
-    /** {@code name state key=value ...}, a line a member, after a first line of figures. */
-    private static View view(List<String> lines) {
-        Map<String, Map<String, String>> members = new LinkedHashMap<>();
-        for (String line : lines.subList(1, lines.size())) {
-            String[] words = line.split(" ");
-            if (words.length >= 2) {
-                Map<String, String> row = new LinkedHashMap<>();
-                row.put("state", words[1]);
-                row.putAll(figures(words));
-                members.put(words[0], row);
-            }
-        }
-        return new View(figures(lines.get(0).split(" ")), members);
-    }
-
-    private static Map<String, String> figures(String[] words) {
-        Map<String, String> result = new LinkedHashMap<>();
-        for (String word : words) {
-            int equals = word.indexOf('=');
-            if (equals > 0) {
-                result.putIfAbsent(word.substring(0, equals), word.substring(equals + 1));
-            } else if (word.equals("other-list")) {
-                result.put(word, "true");
-            }
-        }
-        return result;
-    }
 }
--- a/control/src/test/java/dockrelay/control/ControlTest.java
+++ b/control/src/test/java/dockrelay/control/ControlTest.java
@@ -100,6 +100,61 @@
         assertEquals(false, json.get("agreed").asBoolean());
     }
 
+    /** Each group's digest is its own; what they say of the whole has to be the same. */
+    @Test
+    void membersOfSeveralGroupsAgreeWhereEachGroupDoes() throws Exception {
+        String head = HEAD.trim() + " age=0.8s groups=2 group=%s speaker=yes\n";
+        String a = console(head.formatted("all", "0a", "a/1") + "n0 present for=3.0s by=n0 incarnation=7\n");
+        String b = console(head.formatted("all", "0b", "b/1") + "n1 present for=3.0s by=n1 incarnation=7\n");
+        String told = run(0, "members", a, b);
+        assertTrue(told.contains("b/1, speaks") && told.contains("0.8s"), told);
+        String other = console(head.formatted("all", "0c", "b/1") + "n2 gone for=1.0s by=n1 incarnation=7\n");
+        run(1, "members", a, b, other);
+        String fewer = console(head.formatted("all", "0b", "b/1").replace("present=2", "present=1"));
+        run(1, "members", a, fewer);
+    }
+
+    @Test
+    void groupsAreComparedAcrossProxies() throws Exception {
+        String own = "a/1 fresh of=2 present=2 left=0 gone=0 counted=2 agreement=all age=%s speaker=n0\n";
+        String far = "b/1 %s of=2 present=%d left=0 gone=%d counted=%d agreement=all age=1.5s%s speaker=n3\n";
+        String a = console("200 groups=2 fresh=2\n" + own.formatted("0.0s")
+            + far.formatted("fresh", 2, 0, 2, ""));
+        String b = console("200 groups=2 fresh=2\n" + own.formatted("1.2s")
+            + far.formatted("fresh", 2, 0, 2, ""));
+        String same = run(0, "groups", a, b);
+        assertTrue(same.contains("up to 1.2s") && same.contains("all 2"), same);
+        String fewer = console("200 groups=2 fresh=2\n" + own.formatted("0.1s")
+            + far.formatted("fresh", 1, 1, 1, ""));
+        String differing = run(1, "groups", a, fewer);
+        assertTrue(differing.contains("2 of 2") && differing.contains("1 of 2"), differing);
+        JsonNode json = new ObjectMapper().readTree(run(1, "groups", "--json", a, fewer));
+        assertEquals("1", json.path("proxies").path(fewer).path("groups").path("b/1").path("gone").asText());
+        run(1, "groups", console("200 groups=2 fresh=1\n" + own.formatted("0.1s")
+            + far.formatted("stale", 2, 0, 2, "")));
+        run(1, "groups", console("200 groups=2 fresh=2\n" + own.formatted("0.1s")
+            + far.formatted("fresh", 2, 0, 2, " other-list")));
+        String unheard = run(1, "groups", console("200 groups=2 fresh=1\n" + own.formatted("0.1s")
+            + "b/1 unheard of=2\n"));
+        assertTrue(unheard.contains("never") && unheard.contains("? of 2"), unheard);
+        run(1, "groups", a, console("400 calls are PING, DETACH ID and ATTACH ID\n"));
+    }
+
+    @Test
+    void oneMemberIsAskedForByName() throws Exception {
+        String row = "n3 %s for=3.0s by=n3 incarnation=7\n";
+        String a = console("200 group=b/1\n" + row.formatted("present"));
+        String told = run(0, "member", "n3", a, console("200 group=b/1\n" + row.formatted("present")));
+        assertTrue(told.contains("b/1") && told.contains("present"), told);
+        run(1, "member", "n3", a, console("200 group=b/1\n" + row.formatted("gone")));
+        String silent = run(1, "member", "n3", a, console("400 no answer of group b/1: asked\n"));
+        assertTrue(silent.contains("no answer of group b/1"), silent);
+        JsonNode json = new ObjectMapper().readTree(run(0, "member", "--json", "n3", a));
+        assertEquals("present", json.at("/proxies/" + a + "/members/n3/state").asText());
+        run(2, "member", "n 3", a);
+        assertEquals("NAME = n 3 is not 1 to 64 visible characters", errors);
+    }
+
     @Test
     void eachThatDoesNotAnswerIsNamedWithTheReason() throws Exception {
         String silent = console(null), good = console("200 serving\n");
