Part the virtual clock and network from the members' simulation

Need: groups are simulated on the same network, and it should be written once.

Change: VirtualNetwork has the clock, the events and what happens to datagrams; Simulation has members and checks. The draws from the seed are in the same order.

--- a/fleet/src/test/java/dockrelay/fleet/Simulation.java
+++ b/fleet/src/test/java/dockrelay/fleet/Simulation.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 
 /**
@@ -14,8 +13,7 @@
  * is stopped, killed or started anew, and clocks that run unlike. What must always hold is checked at every
  * step.
  */
-final class Simulation {
-    static final long MILLI = 1_000, SECOND = 1_000_000;
+final class Simulation extends VirtualNetwork {
     private static final int INBOX = 256;
     /** How often a process computes what it may go by, and how often the sum of all is looked at. */
     private static final long STANDING = SECOND / 2, LOOK = 50 * MILLI;
@@ -35,9 +33,6 @@
         }
     }
 
-    private record Event(long at, long order, Runnable action) {
-    }
-
     /** One process of a name, with a clock of its own. */
     final class Process implements Membership.Actions {
         final String name;
@@ -148,7 +143,6 @@
         }
     }
 
-    final Random random;
     final List<String> names;
     final Map<String, Process> processes = new HashMap<>();
     final Map<String, Long> incarnations = new HashMap<>(), diedAt = new HashMap<>();
@@ -156,23 +150,17 @@
     final int[][] cut;
     int[] sides; // where all that happens is that the network falls apart
     final List<byte[]> recorded = new ArrayList<>();
-    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at != b.at
-        ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private final Map<String, Integer> index = new HashMap<>();
     private final Maker maker;
-    private final boolean traced;
-    double loss, repeats, spoilt, replays;
-    long jitter = 3 * MILLI, now;
     long datagrams, sentBytes;
     int falselyGone, clashes, longest, lostBeside;
     String lastFalse, accusedOnWaking;
     double mostShare;
-    private long order, looks;
+    private long looks;
 
     Simulation(long seed, int members, Maker maker, boolean traced) {
-        this.random = new Random(seed);
+        super(seed, traced);
         this.maker = maker;
-        this.traced = traced;
         names = new ArrayList<>();
         for (int i = 0; i < members; i++) {
             names.add("n" + i);
@@ -182,25 +170,6 @@
         later(LOOK, this::look);
     }
 
-    void trace(String text) {
-        if (traced) {
-            System.out.printf("%9.3f %s%n", now / 1e6, text);
-        }
-    }
-
-    void later(long delay, Runnable action) {
-        events.add(new Event(now + delay, order++, action));
-    }
-
-    void runUntil(long end) {
-        while (!events.isEmpty() && events.peek().at <= end) {
-            Event event = events.poll();
-            now = event.at;
-            event.action.run();
-        }
-        now = end;
-    }
-
     void start(String name, long incarnation) {
         trace(name + " starts with incarnation " + incarnation);
         diedAt.remove(name);
@@ -237,38 +206,20 @@
         cut[from][to] += by;
     }
 
-    private void pass(String from, String to, byte[] bytes) {
-        int a = index.get(from), b = index.get(to);
-        if (cut[a][b] > 0 || random.nextDouble() < loss) {
-            return;
-        }
-        byte[] carried = bytes;
-        if (spoilt > 0 && random.nextDouble() < spoilt) {
-            carried = random.nextBoolean() ? java.util.Arrays.copyOf(bytes, random.nextInt(bytes.length))
-                : bytes.clone();
-            if (carried.length > 0) {
-                carried[random.nextInt(carried.length)] ^= (byte) (1 + random.nextInt(255));
-            }
-        }
-        deliver(from, to, carried, 300 + (long) (random.nextDouble() * jitter));
-        if (repeats > 0 && random.nextDouble() < repeats) {
-            deliver(from, to, carried, 300 + (long) (random.nextDouble() * 20 * jitter));
-        }
-        if (replays > 0 && random.nextDouble() < replays) {
-            deliver(from, to, carried, SECOND + (long) (random.nextDouble() * 30 * SECOND));
-        }
+    @Override
+    protected boolean blocked(String from, String to) {
+        return cut[index.get(from)][index.get(to)] > 0;
     }
 
-    private void deliver(String from, String to, byte[] bytes, long delay) {
-        later(delay, () -> {
-            Process process = processes.get(to);
-            if (process != null) {
-                process.run(() -> {
-                    process.machine.receive(process.local(), from, ByteBuffer.wrap(bytes));
-                    process.schedule();
-                });
-            }
-        });
+    @Override
+    protected void arrive(String from, String to, byte[] bytes) {
+        Process process = processes.get(to);
+        if (process != null) {
+            process.run(() -> {
+                process.machine.receive(process.local(), from, ByteBuffer.wrap(bytes));
+                process.schedule();
+            });
+        }
     }
 
     /** What must hold at every moment. */
