--- a/lab/src/main/java/dockrelay/lab/process/Configuration.java
+++ b/lab/src/main/java/dockrelay/lab/process/Configuration.java
@@ -36,6 +36,13 @@
             Map<String, String> named = new LinkedHashMap<>();
             peers.forEach(peer -> named.put("n" + named.size(), peer));
             top.put("peers", named);
+            Map<String, List<String>> zones = new LinkedHashMap<>();
+            for (int i = 0; i < peers.size() && !experiment.proxies().zones().isEmpty(); i++) {
+                zones.computeIfAbsent(experiment.proxies().zone(i), zone -> new ArrayList<>()).add("n" + i);
+            }
+            if (!zones.isEmpty()) {
+                top.put("peer_groups", Map.of("zones", zones));
+            }
         }
         if (experiment.permissions().extra() > 0) {
             top.put("budgets", Map.of("extra", Map.of("per_second", experiment.permissions().extra())));
--- a/lab/src/main/java/dockrelay/lab/process/Proxies.java
+++ b/lab/src/main/java/dockrelay/lab/process/Proxies.java
@@ -16,6 +16,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
@@ -82,9 +83,11 @@
         return all.stream().map(ProxyProcess::listen).toArray(InetSocketAddress[]::new);
     }
 
-    /** The consoles of those that run. */
-    List<InetSocketAddress> consoles() {
-        return all.stream().filter(ProxyProcess::alive).map(ProxyProcess::console).toList();
+    /** The consoles of those that run, by name. */
+    Map<String, InetSocketAddress> consoles() {
+        Map<String, InetSocketAddress> result = new LinkedHashMap<>();
+        all.stream().filter(ProxyProcess::alive).forEach(proxy -> result.put(proxy.name(), proxy.console()));
+        return result;
     }
 
     public void start() throws IOException {
--- a/lab/src/test/java/dockrelay/lab/spec/ExperimentReaderTest.java
+++ b/lab/src/test/java/dockrelay/lab/spec/ExperimentReaderTest.java
@@ -40,6 +40,8 @@
         assertEquals("one.toml:4: class[0].aim = [ \"2s\", \"1s\" ]: allowed is a time such as \"250ms\", "
             + "or two as [low, high], from 1ms to 3600s",
             wrong("[[class]]\nname = \"a\"\naim = [\"2s\", \"1s\"]\n"));
+        assertEquals("one.toml:4: proxies.zones = [ \"a\", \"b\", \"c\" ]: allowed is no more zones than "
+            + "proxies, by turns", wrong("[proxies]\ncount = 2\nzones = [\"a\", \"b\", \"c\"]\n"));
         assertTrue(wrong("length = \n").startsWith("one.toml:2: not TOML: "));
         assertTrue(wrong("[[fault]]\nkind = \"crash\"\nvictims = [\"s-99\"]\n")
             .contains("no victim is named s-99"));
