Play six real proxies in three groups, and groups in one process

Need: what groups say of each other was shown by the simulation only. Change: RealGroupsTest kills one that speaks for its group and cuts a group off, both ways; within 6 s each all have to say the right count and agreement, and go on saying so; counts grow old in the cut and then the fact says so; shares are within the whole; nobody that runs is held gone. MembersTest: five members in three groups, a member of another group asked for by name, no module's message in a fleet of more than one group.

--- /dev/null
+++ b/lab/src/test/java/dockrelay/lab/RealGroupsTest.java
@@ -0,0 +1,135 @@
+package dockrelay.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockrelay.lab.plan.Plan;
+import dockrelay.lab.process.Build;
+import dockrelay.lab.report.Result;
+import dockrelay.lab.spec.ExperimentReader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Six proxies as processes, three, two and one to a group: one that speaks for its group is killed, and later
+ * a group is cut off from the others, both ways.
+ */
+class RealGroupsTest {
+    /** A death, a group's loss and its return are with all within this. */
+    private static final double KNOWN = 6;
+    private static final double KILLED = 6, BACK = 15, CUT = 22, HEALED = 33, END = 41;
+    private static final List<String> OTHERS = List.of("n0", "n2", "n3", "n4", "n5");
+    private static final List<String> MOST = List.of("n0", "n1", "n2", "n5"), FEW = List.of("n3", "n4");
+
+    @TempDir
+    Path folder;
+    private final List<Said> said = new ArrayList<>();
+
+    /** What one proxy told of the fleet. */
+    private record Said(double at, String proxy, int present, int of, String agreement, int counted,
+                        double age, int groups, String group, boolean speaker) {
+        static Said of(String row) {
+            String[] cells = row.split(",");
+            return new Said(Double.parseDouble(cells[0]), cells[1], Integer.parseInt(cells[2]),
+                Integer.parseInt(cells[3]), cells[4], Integer.parseInt(cells[5]),
+                Double.parseDouble(cells[7]), Integer.parseInt(cells[8]), cells[9], cells[10].equals("yes"));
+        }
+
+        boolean says(int counts, String agreed) {
+            return counted == counts && agreement.equals(agreed);
+        }
+    }
+
+    @Test
+    void groupsCountEachOtherAndAgreeAgain() throws Exception {
+        Path file = Files.writeString(folder.resolve("groups.toml"), """
+            shows = "groups"
+            length = "%.0fs"
+            [proxies]
+            count = 6
+            zones = ["a", "a", "a", "b", "b", "c"]
+            [nodes]
+            count = 4
+            [clients]
+            load = 0.2
+            [permissions]
+            peers = true
+            [[fault]]
+            kind = "kill"
+            at = "%.0fs"
+            lasts = "%.0fs"
+            victims = ["n1"]
+            [[fault]]
+            kind = "link"
+            at = "%.0fs"
+            lasts = "%.0fs"
+            from = ["n3", "n4"]
+            to = ["n0", "n1", "n2", "n5"]
+            mode = "silent"
+            """.formatted(END, KILLED, BACK - KILLED, CUT, HEALED - CUT));
+        Result result = new LabRun(Plan.of(ExperimentReader.read(file), 3), Build.of(Path.of("..")),
+            folder.resolve("out"), text -> { }).play();
+        Files.readAllLines(folder.resolve("out/members.csv")).stream().skip(1).map(Said::of)
+            .forEach(said::add);
+        assertEquals(List.of(), result.broken);
+        Map<?, ?> members = (Map<?, ?>) result.values().get("members");
+        assertEquals(List.of(), members.get("falsely_gone_first"), "nobody is held gone that runs");
+        assertEquals(2, members.get("deaths_seen"), "by those of its group: " + members);
+        assertTrue((Double) members.get("shares_most") < 1 + 1e-4, members.toString());
+        assertEquals(Set.of("a/1 3", "b/1 3", "c/1 3"), groups());
+        assertTrue(said.stream().anyMatch(one -> one.at < KILLED && one.proxy.equals("n1") && one.speaker),
+            "who is killed spoke for its group");
+
+        List<String> all = new ArrayList<>(MOST);
+        all.addAll(FEW);
+        known("the start", 0, KILLED, all, one -> one.says(6, "all") && one.present == 6);
+        known("the death", KILLED, BACK, OTHERS, one -> one.says(5, "all") && one.present == 5);
+        known("the return", BACK, CUT, all, one -> one.says(6, "all") && one.present == 6);
+        known("the cut, by most", CUT, HEALED, MOST, one -> one.says(4, "all") && one.present == 4);
+        known("the cut, by few", CUT, HEALED, FEW, one -> one.says(6, "minority"));
+        known("the heal", HEALED, END, all, one -> one.says(6, "all") && one.present == 6);
+        for (String one : FEW) { // what is counted grows old, and is not counted once it is too old
+            double oldest = said.stream().filter(row -> row.proxy.equals(one) && row.at >= CUT
+                && row.at < HEALED && row.agreement.equals("all")).mapToDouble(Said::age).max().orElse(0);
+            System.out.println(one + ": counts were up to " + oldest + " s old before the fact said so");
+            assertTrue(oldest > 1 && oldest <= KNOWN, one + ": " + of(one, CUT, HEALED));
+        }
+    }
+
+    private Set<String> groups() {
+        Set<String> result = new HashSet<>();
+        said.forEach(one -> result.add(one.group + " " + one.groups));
+        return result;
+    }
+
+    /** From some moment on, soon enough after the beginning, each of these says so until the end of it. */
+    private void known(String what, double from, double until, List<String> proxies, Predicate<Said> holds) {
+        double latest = 0;
+        for (String proxy : proxies) {
+            double since = Double.NaN;
+            for (Said one : said) {
+                if (one.proxy.equals(proxy) && one.at >= from && one.at < until) {
+                    since = !holds.test(one) ? Double.NaN : Double.isNaN(since) ? one.at : since;
+                }
+            }
+            assertTrue(!Double.isNaN(since), what + ": " + proxy + " never came to say so: " + of(proxy, from,
+                until));
+            latest = Math.max(latest, since - from);
+        }
+        System.out.println(what + " is with all after " + latest + " s");
+        assertTrue(latest <= KNOWN, what + " was with all after " + latest + " s only");
+    }
+
+    private List<Said> of(String proxy, double from, double until) {
+        return said.stream().filter(one -> one.proxy.equals(proxy) && one.at >= from && one.at < until)
+            .toList();
+    }
+}
--- a/proxy/src/test/java/dockrelay/proxy/MembersTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/MembersTest.java
@@ -9,6 +9,7 @@
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -43,6 +44,10 @@
 
     /** A member called n and the name's number, where n0, n1 and so on are at these ports. */
     private static Config config(int name, int port, List<Integer> ports) throws Exception {
+        return config(name, port, ports, "");
+    }
+
+    private static Config config(int name, int port, List<Integer> ports, String zones) throws Exception {
         StringBuilder peers = new StringBuilder();
         for (int i = 0; i < ports.size(); i++) {
             peers.append(i == 0 ? "" : ",").append("\"n" + i + "\":\"127.0.0.1:" + ports.get(i) + "\"");
@@ -51,6 +56,7 @@
             + "\"discovery\":\"127.0.0.1:1\","
             + "\"seed\":\"" + name + "\",\"peer_listen\":\"127.0.0.1:" + port + "\",\"peers\":{" + peers
                 + "},"
+            + (zones.isEmpty() ? "" : "\"peer_groups\":{\"zones\":{" + zones + "}},")
             + "\"settings\":{\"Balancers\":" + ports.size() + ",\"Permissions\":{\"Peers\":true},"
             + "\"Services\":[{\"Name\":\"look\",\"Aim\":1.0,\"HardLimit\":5.0}]}}");
     }
@@ -109,6 +115,56 @@
         }
     }
 
+    /** Single members of other groups are asked for by name; the module hears how old its counts may be. */
+    @Test
+    void groupsSeeEachOther() throws Exception {
+        List<Integer> ports = ports(5);
+        String zones = "\"a\":[\"n0\",\"n1\"],\"b\":[\"n2\",\"n3\"],\"c\":[\"n4\"]";
+        List<AtomicReference<Fleet>> fleets = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            fleets.add(new AtomicReference<>());
+            member(config(i, ports.get(i), ports, zones), folder.resolve("n" + i), fleets.get(i));
+        }
+        for (Members member : all) {
+            awaitSaying(member, "200 present=5 of=5 agreement=all", " counted=5 ", " groups=3 ");
+        }
+        Fakes.await("the fact", () -> fleets.stream().allMatch(fleet -> fleet.get().proxies() == 5
+            && fleet.get().agreement() == Agreement.ALL && fleet.get().countsAge() > 0));
+        assertEquals(List.of(0, 1, 2, 3, 4), fleets.stream().map(fleet -> fleet.get().me()).toList());
+        assertTrue(fleets.stream().mapToDouble(fleet -> fleet.get().share()).sum() < 1 + 1e-9);
+        Members n0 = all.get(0);
+        assertTrue(says(n0).contains("\nn1 present") && !says(n0).contains("\nn2 "), says(n0));
+        String groups = n0.describeGroups().join();
+        assertTrue(groups.startsWith("200 groups=3 fresh=3\na/1 fresh of=2 present=2 left=0 gone=0 "
+            + "counted=2 ") && groups.contains("\nc/1 fresh of=1 "), groups);
+        Fakes.await("a word of n4", () -> n0.describe("n4").join().startsWith("200 group=c/1\nn4 present "));
+        assertEquals("400 n5 is no name of peers here", n0.describe("n5").join());
+        all.get(3).leave();
+        awaitSaying(n0, "200 present=4 of=5", " counted=4 ");
+    }
+
+    /** What is told once it is one group again is the first that comes. */
+    @Test
+    void theModulesMessagesAreForFleetsOfOneGroup() throws Exception {
+        List<Integer> ports = ports(2);
+        try (DatagramSocket n1 = new DatagramSocket(ports.get(1), InetAddress.getLoopbackAddress())) {
+            n1.setSoTimeout(20_000);
+            Members n0 = member(config(0, ports.get(0), ports, "\"a\":[\"n0\"],\"b\":[\"n1\"]"), null,
+                new AtomicReference<>());
+            awaitSaying(n0, " groups=2 ");
+            n0.peers().tell("11 11");
+            n0.configure(config(0, ports.get(0), ports));
+            awaitSaying(n0, " groups=1 ");
+            n0.peers().tell("22 22");
+            DatagramPacket first = new DatagramPacket(new byte[2_000], 2_000);
+            do {
+                n1.receive(first);
+            } while (first.getData()[0] < 0); // the members' own
+            assertEquals("22 22", new String(first.getData(), 0, first.getLength(),
+                StandardCharsets.US_ASCII));
+        }
+    }
+
     /** It is told at both ends, and the one who has the name by right stays. */
     @Test
     void twoOfOneNameAreToldSo() throws Exception {
