Tick the members' machine sooner where what came makes something due before

Cause: the timer stood at what was due when it was set; what groups ask after an answer came up to a period late, and the machine took that for a stop of its own and waited longer for all it had asked. Change: after a datagram, a change of the list or a question for a name the timer is set anew if it has to be earlier. In one group nothing becomes due by those, so nothing changes. Measured: MembersTest and PeersProcessTest pass; no test of its own, as it shows in times only.

--- a/proxy/src/main/java/dockrelay/proxy/Members.java
+++ b/proxy/src/main/java/dockrelay/proxy/Members.java
@@ -29,6 +29,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -58,6 +59,8 @@
     private Config config;
     private Groups machine;
     private final Map<String, CompletableFuture<Row>> sought = new HashMap<>();
+    private ScheduledFuture<?> next; // tick, at this time
+    private long nextAt;
     private long suspicions, clashes, reserved;
     private final RequestTable table;
     private FleetBudgets budgets; // null where the configuration names none
@@ -102,13 +105,21 @@
         loop.scheduleWithFixedDelay(this::log, LOG_MILLIS, LOG_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** The next tick: sooner than it was, where what came makes something due before. */
     private void schedule() {
-        loop.schedule(() -> {
-            if (!ended) {
-                guarded(() -> machine.tick(now()));
-                schedule();
-            }
-        }, Math.max(0, machine.nextAt() - now()), TimeUnit.MICROSECONDS);
+        long at = machine.nextAt();
+        if (next == null || at < nextAt && next.cancel(false)) {
+            nextAt = at;
+            next = loop.schedule(this::tick, Math.max(0, at - now()), TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private void tick() {
+        next = null;
+        if (!ended) {
+            guarded(() -> machine.tick(now()));
+            schedule();
+        }
     }
 
     /** Guards against one bad moment that ends it for good. */
@@ -130,6 +141,7 @@
                 return;
             }
             guarded(() -> machine.receive(now(), from, bytes));
+            schedule();
         }
     }
 
@@ -217,23 +229,24 @@
     }
 
     /** Goes by another list of peers; where its own name or a name is not usable nothing changes. */
-    void configure(Config next) {
+    void configure(Config file) {
         loop.execute(() -> guarded(() -> {
-            if (!next.name().equals(config.name())) {
-                Log.line("reload", "name is " + next.name() + " in the file, this process is "
+            if (!file.name().equals(config.name())) {
+                Log.line("reload", "name is " + file.name() + " in the file, this process is "
                     + config.name() + "; the peers that were in force stay so");
                 return;
             }
-            if (!next.groups().same(config.groups())) {
+            if (!file.groups().same(config.groups())) {
                 if (machine != null) {
-                    machine.configure(now(), next.groups().grouping());
+                    machine.configure(now(), file.groups().grouping());
+                    schedule();
                 }
-                Log.line("members", listed(next));
+                Log.line("members", listed(file));
             }
-            config = next;
-            peers.configure(next);
+            config = file;
+            peers.configure(file);
             if (budgets != null) {
-                budgets.configure(next);
+                budgets.configure(file);
             }
         }));
     }
@@ -333,6 +346,7 @@
                 sought.put(name, asked);
                 asked.whenCompleteAsync((row, failure) -> sought.remove(name), loop);
                 machine.find(now(), name);
+                schedule();
             }
             return asked.thenApply(row -> row == null ? "400 no answer of group " + grouping.label(group)
                 + ": GROUPS tells whether it is heard" : "200 group=" + grouping.label(group)
