Tell an attempt whose connection comes up late what is left then

X-Timeout was written at the decision and went out unchanged when the connection came up, up to the connect timeout later.

Change: a whole request is told at its first byte (Exchange.writeTo). One that still flows in is told at the decision, as before: its time counts from its last byte.

Measured: the new test fails on the code before (20.000000 told 0.37 s after the decision) and passes now; BackendCrossingTest, StreamTest, ProxyTest, RequestTableTest pass.

--- a/proxy/src/main/java/dockrelay/proxy/BackendPool.java
+++ b/proxy/src/main/java/dockrelay/proxy/BackendPool.java
@@ -297,6 +297,7 @@
         private Body answer;
         private Future<?> timer;
         private long passed;
+        private final long madeAt = System.nanoTime();
         private boolean begun, written, ended, neverRan;
         private long begunAt;
 
@@ -329,6 +330,8 @@
             begun = true;
             begunAt = System.nanoTime();
             if (body == null) {
+                // A connection may come up late: what it is told is what is left now.
+                Headers.timeout(request, timeout - TimeUnit.NANOSECONDS.toMicros(begunAt - madeAt));
                 channel.writeAndFlush(ReferenceCountUtil.retain(request)).addListener(this::written);
                 return;
             }
--- a/proxy/src/main/java/dockrelay/proxy/Headers.java
+++ b/proxy/src/main/java/dockrelay/proxy/Headers.java
@@ -2,8 +2,10 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.util.AsciiString;
 import java.util.List;
+import java.util.Locale;
 
 /** Names of the protocol's headers, and which headers hold for one connection only. */
 final class Headers {
@@ -28,6 +30,11 @@
     private Headers() {
     }
 
+    /** Tells a backend how long its answer is waited for, in microseconds. */
+    static void timeout(HttpMessage message, long left) {
+        message.headers().set(TIMEOUT, String.format(Locale.ROOT, "%.6f", Math.max(0, left) / 1_000_000.0));
+    }
+
     /** Whether a header that settles what a request is and how often it may run is there more than once. */
     static boolean isAmbiguous(HttpHeaders headers) {
         for (AsciiString name : ONCE) {
--- a/proxy/src/main/java/dockrelay/proxy/RequestTable.java
+++ b/proxy/src/main/java/dockrelay/proxy/RequestTable.java
@@ -466,7 +466,9 @@
         } else if (message.content().isReadable() || !HttpMethod.GET.equals(message.method())) {
             copy.headers().set(HttpHeaderNames.CONTENT_LENGTH, message.content().readableBytes());
         }
-        copy.headers().set(Headers.TIMEOUT, String.format(Locale.ROOT, "%.6f", Math.max(0, left) / MICROS));
+        if (p.body != null) {
+            Headers.timeout(copy, left); // a whole one is told as it is written
+        }
         return copy;
     }
 
--- a/proxy/src/test/java/dockrelay/proxy/BackendCrossingTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/BackendCrossingTest.java
@@ -22,7 +22,9 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -149,6 +151,34 @@
         }
     }
 
+    /** What a backend is told to have is what the client still waits, not what it did at the decision. */
+    @Test
+    void anAttemptWhoseConnectionComesUpLateIsToldWhatIsLeftThen() throws Exception {
+        AtomicLong decidedAt = new AtomicLong();
+        try (Deaf deaf = new Deaf()) {
+            parts(0, (event, arguments) -> {
+                if ("onRequest".equals(event)) {
+                    decidedAt.set(System.nanoTime());
+                    table.send("r", 1, 20_000_000);
+                } else {
+                    table.fail("r");
+                }
+            });
+            learn(1, deaf.port(), true);
+            take("r", "save");
+            Fakes.await("it has waited", () -> System.nanoTime() - decidedAt.get() > 50_000_000L);
+            long waited = System.nanoTime() - decidedAt.get();
+            try (Socket late = deaf.open()) {
+                String told = new BufferedReader(new InputStreamReader(late.getInputStream(),
+                    StandardCharsets.US_ASCII)).lines().takeWhile(line -> !line.isEmpty())
+                    .filter(line -> line.startsWith("X-Timeout: ")).findFirst().orElseThrow();
+                double seconds = Double.parseDouble(told.substring("X-Timeout: ".length()));
+                assertTrue(seconds <= 20 - waited / 1e9 + 1e-3 && seconds > 0, told + " after " + waited);
+            }
+            Fakes.await("nothing is in hand", () -> table.size() == 0);
+        }
+    }
+
     @Test
     void aConnectionThatComesUpAfterADrainWasToldIsNotUsed() throws Exception {
         try (Deaf deaf = new Deaf()) {
