--- a/decision/src/main/java/dockrelay/RiqBalancer.java
+++ b/decision/src/main/java/dockrelay/RiqBalancer.java
@@ -162,34 +162,6 @@
     private int overLimit, shedNow, noBackend, gaveUp, copiesSent, hedgesSent, retriesSent;
     private int ejections; // these are for the log
 
-    /** A class with the ready backends open to it, from which it draws, and what was seen of it. */
-    private static final class ServiceState {
-        final ServiceClass spec;
-        final List<Node> ready = new ArrayList<>();
-        double mostWeight;
-        int from, window;
-        double firstPart = 1, lastPart = 1; // of the window's outer ones: the rest of them is the neighbours'
-        double shed; // its own where the class is bound; the unknown class keeps that of all others
-        double median, deviation;
-        double floor = Double.MAX_VALUE;
-        int answers;
-        double usualBudget, usualLog, hintLog, hintCovers, hintVaries;
-
-        ServiceState(ServiceClass spec) {
-            this.spec = spec;
-        }
-
-        /** The first ones are the window's. */
-        Node at(int index) {
-            return ready.get((from + index) % ready.size());
-        }
-
-        /** How much of one of the window's backends is this window's. */
-        double part(int index) {
-            return index == 0 ? firstPart : index == window - 1 ? lastPart : 1;
-        }
-    }
-
     /** A tenant's part of its share at this proxy, as a bucket of requests. */
     private static final class TenantState {
         final double quota;
@@ -204,25 +176,6 @@
         }
     }
 
-    /** A backend as this proxy knows it. */
-    private static final class Node {
-        final long id;
-        String zone, kind;
-        long cell, startedAt;
-        Phase phase = Phase.GONE;
-        double weight = 1;
-        boolean heard = true, out, drained; // one that started long ago counts as heard from
-        int inflight, overdue;
-        double badness, span, coldTokens;
-        int connectFailures, connections;
-        long unreachableUntil, connectFailedAt, badSince, markedAt, queuedAt, ejectedUntil, coldFilledAt;
-        long drainedAt;
-
-        Node(long id) {
-            this.id = id;
-        }
-    }
-
     private static final class Attempt {
         final Node node;
         final String zone; // and so on as they were then: an id may come back elsewhere, another process
