--- a/decision/src/main/java/dockrelay/Allowances.java
+++ b/decision/src/main/java/dockrelay/Allowances.java
@@ -8,10 +8,8 @@
 
 /** What this proxy may spend of the fleet's budgets: buckets that it was lent, each for a while. */
 final class Allowances {
-    /** Copies, hedges and retries together. */
-    static final String EXTRA = "extra";
-    /** A tenant's requests inside its share: this and its name. */
-    static final String TENANT = "tenant/";
+    static final String EXTRA = "extra"; // copies, hedges and retries together
+    static final String TENANT = "tenant/"; // and its name: a tenant's requests inside its share
     /** One that found nothing waits for so long: with few tokens the next one is for the next request. */
     private static final long WAITS = 2_000_000;
 
@@ -46,8 +44,8 @@
     private void fill(long now, Bucket bucket) {
         long to = Math.min(now, until);
         if (to > bucket.filledAt) {
-            bucket.tokens = Math.min(bucket.burst, bucket.tokens + bucket.rate * (to - bucket.filledAt) /
-                1e6);
+            bucket.tokens = Math.min(bucket.burst, bucket.tokens + bucket.rate * (to - bucket.filledAt)
+                / 1e6);
             bucket.filledAt = to;
         }
     }
--- a/decision/src/main/java/dockrelay/Balancer.java
+++ b/decision/src/main/java/dockrelay/Balancer.java
@@ -203,7 +203,8 @@
     void onTimer(long now, long token);
 
     /** What a probe found; report may be null. */
-    void onProbe(long now, long backend, Outcome outcome, long latency, LoadReport report);
+    default void onProbe(long now, long backend, Outcome outcome, long latency, LoadReport report) {
+    }
 
     /** What is known of the other proxies now; without a word of it the settings' number of them holds. */
     void onFleet(long now, Fleet fleet);
--- a/decision/src/main/java/dockrelay/Node.java
+++ b/decision/src/main/java/dockrelay/Node.java
@@ -1,22 +1,24 @@
 package dockrelay;
 
-import dockrelay.Balancer.Phase;
-
-/** A backend as this proxy knows it. */
+/** A backend as this proxy knows it beyond its entry. */
 final class Node {
-    final long id;
-    String zone, kind;
-    long cell, startedAt;
-    Phase phase = Phase.GONE;
-    double weight = 1;
-    boolean heard = true, out, drained; // one that started long ago counts as heard from
-    int inflight, overdue;
+    final Ring.Place place;
+    boolean heard = true, out; // one that started long ago counts as heard from
+    int inflight, overdue, connectFailures, connections;
     double badness, span, coldTokens;
-    int connectFailures, connections;
     long unreachableUntil, connectFailedAt, badSince, markedAt, queuedAt, ejectedUntil, coldFilledAt;
     long drainedAt;
 
-    Node(long id) {
-        this.id = id;
+    Node(Ring.Place place) {
+        this.place = place;
+    }
+
+    /** New, or restarted under the same id: cold, and nothing known holds. */
+    void restart(long now, double tokens) {
+        coldTokens = tokens;
+        coldFilledAt = now;
+        heard = out = false;
+        badness = connectFailures = 0;
+        ejectedUntil = unreachableUntil = 0;
     }
 }
--- a/decision/src/main/java/dockrelay/RiqBalancer.java
+++ b/decision/src/main/java/dockrelay/RiqBalancer.java
@@ -1,7 +1,7 @@
 package dockrelay;
 
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,194 +17,118 @@
  */
 public final class RiqBalancer implements Balancer {
     /** d: backends drawn, and the most while none is idle: to queue where others are idle costs most. */
-    private static final int SAMPLE = 4;
-    private static final int SAMPLE_MOST = 7;
-    /**
-     * Proxies with a backend in their window. A proxy knows no load but its own: the fewer share a backend,
-     * the more that tells of the whole. Still a window holds some backends, so that a few bad ones do not
-     * matter, unless too many proxies shared each: all-to-all connections run out.
-     */
-    private static final double PROXIES_EACH = 2;
-    private static final double PROXIES_MOST = 35;
-    private static final double WINDOW_LEAST = 8;
-    /** Backends looked at when none of the drawn could be used. */
-    private static final int LAST_RESORT = 64;
-    /** Draws tried for each sampled backend before settling for fewer: bounds the work of a request. */
-    private static final int DRAW_TRIES = 6;
-    /** Overdue is so far past the median: where work varies widely, not every long one is hedged. */
-    private static final double OVERDUE_DEVIATIONS = 4;
-    /** ...but after this share of the aim at most, so that another attempt can still make it. */
-    private static final double OVERDUE_MOST_AIM = 0.5;
-    /** The median moves by this share of itself with each answer: it settles within some tens of answers. */
-    private static final double MEDIAN_STEP = 0.03;
-    /** A class's first answers settle its median in larger steps, before it counts as a lowest one. */
-    private static final int FIRST_ANSWERS = 40;
-    /** Weight of one outcome in a backend's badness: three bad ones in a row eject it. */
-    private static final double BAD_WEIGHT = 0.3;
-    /** ...but two that lie this many mean aims apart: one pause is not seen twice then, and news is rare. */
-    private static final double BAD_WEIGHT_APART = 0.5;
-    private static final double APART_AIMS = 8;
+    private static final int SAMPLE = 4, SAMPLE_MOST = 7;
+    private static final int DRAW_TRIES = 6; // for each sampled backend: bounds the work of a request
+    // Overdue is so far past the median, as where work varies widely not every long one is hedged, but after
+    // this share of the aim at most, so that another attempt can still make it.
+    private static final double OVERDUE_DEVIATIONS = 4, OVERDUE_MOST_AIM = 0.5;
+    private static final double MEDIAN_STEP = 0.03; // share of itself: settles within tens of answers
+    private static final int FIRST_ANSWERS = 40; // move a median in larger steps; then it may be lowest
+    // Weight of one outcome in a backend's badness: three bad ones in a row eject it, but two that lie this
+    // many mean aims apart: one pause is not seen twice then, and news is rare.
+    private static final double BAD_WEIGHT = 0.3, BAD_WEIGHT_APART = 0.5, APART_AIMS = 8;
     /** A backend counts as idle while it holds less than this part of the usual own load by its size. */
-    private static final double IDLE_PART = 0.8;
-    private static final double BAD_BUSY = 0.45;
-    private static final double BAD_EJECT = 0.6;
+    private static final double IDLE_PART = 0.8, BAD_BUSY = 0.45;
     /** A backend is ejected only if it is this much worse than the usual one: overload makes all look bad. */
-    private static final double BAD_MARGIN = 0.35;
-    private static final double BAD_MOST = 0.9;
-    /** Badness from which a trial after an ejection starts: one bad outcome ejects again, one good clears. */
-    private static final double BAD_TRIAL = 0.5;
+    private static final double BAD_EJECT = 0.6, BAD_MARGIN = 0.35, BAD_MOST = 0.9;
+    private static final double BAD_TRIAL = 0.5; // after an ejection: one bad outcome ejects, one good clears
     /** The first ejection lasts this many mean aims, and this many sends to a backend; later ones double. */
-    private static final double EJECT_AIMS = 4;
-    private static final double EJECT_SENDS = 8;
-    private static final double EJECT_MOST_AIMS = 64;
-    /** Bad outcomes alone for this many mean aims come first: a busy proxy sees many in one short pause. */
-    private static final double EJECT_AFTER_AIMS = 2;
-    /** The first wait after a failed connect, long enough for a proxy with two requests a second. */
-    private static final double RECONNECT_AIMS = 16;
-    /** At most this share of the window's backends may be ejected at a time: the rest cannot carry all. */
-    private static final double EJECT_MOST = 0.7;
+    private static final double EJECT_AIMS = 4, EJECT_SENDS = 8, EJECT_MOST_AIMS = 64;
+    private static final double EJECT_AFTER_AIMS = 2; // of bad outcomes alone: a short pause may give many
+    private static final double RECONNECT_AIMS = 16; // the first wait, long enough with two requests a second
+    private static final double EJECT_MOST = 0.7; // share of a window at a time: the rest cannot carry all
     /** Strain (mean of latency over aim) where copies begin to shrink and where they end. */
-    private static final double STRAIN_LOW = 0.35;
-    private static final double STRAIN_HIGH = 0.6;
+    private static final double STRAIN_LOW = 0.35, STRAIN_HIGH = 0.6;
     /** Copies are earned in full while answers take this share of their aims, none from the next on. */
-    private static final double COPY_FULL = 0.12;
-    private static final double COPY_NONE = 0.24;
-    /** Weight of one outcome in the strain: about the last fifty count. */
-    private static final double STRAIN_WEIGHT = 0.02;
+    private static final double COPY_FULL = 0.12, COPY_NONE = 0.24;
+    private static final double STRAIN_WEIGHT = 0.02; // of one outcome: about the last fifty count
     /** Copies, hedges and retries each request adds to their budgets, and how much they may save up. */
-    private static final double COPIES_PER_REQUEST = 1;
-    private static final double HEDGES_PER_REQUEST = 0.4;
-    private static final double HEDGES_LEAST = 0.05;
-    /** Hedges earn in full where this share of them wins, and least where a third of it does. */
-    private static final double HEDGES_WINNING = 0.6;
-    private static final double RETRIES_PER_REQUEST = 0.3;
-    private static final double BUDGET_SAVED = 20;
-    /** Own requests in flight may reach what is answered within this share of the mean aim (Little)... */
-    private static final double LIMIT_AIM = 0.5;
-    /** ...and this many standard deviations of a Poisson count more, so that chance alone refuses nobody. */
-    private static final double LIMIT_DEVIATIONS = 2;
+    private static final double COPIES_PER_REQUEST = 1, HEDGES_PER_REQUEST = 0.4, HEDGES_LEAST = 0.05;
+    private static final double RETRIES_PER_REQUEST = 0.3, BUDGET_SAVED = 20;
+    private static final double HEDGES_WINNING = 0.6; // share that earns in full; a third of it earns least
+    // Own requests in flight may reach what is answered within this share of the mean aim (Little), and this
+    // many standard deviations of a Poisson count more, so that chance alone refuses nobody.
+    private static final double LIMIT_AIM = 0.5, LIMIT_DEVIATIONS = 2;
     /** The latency that the limit allows is also at most this multiple of the lowest median seen. */
-    private static final double LIMIT_FLOORS = 3;
-    private static final double LIMIT_LEAST_FLOORS = 1.4;
-    /** The lowest median is let rise by this share of itself with each answer, lest one quiet spell binds. */
-    private static final double FLOOR_RISE = 0.0005;
-    /** Traffic over a tenant's share is shed this many times as soon: it is worth less, but not nothing. */
-    private static final double OVER_SHARE_FIRST = 10;
-    /** Each answer moves the shed share by this much; a full turn takes about a hundred answers. */
-    private static final double SHED_STEP = 0.01;
-    /** Some of the traffic is always let through, to see whether there is room again. */
-    private static final double SHED_MOST = 0.95;
+    private static final double LIMIT_FLOORS = 3, LIMIT_LEAST_FLOORS = 1.4;
+    private static final double FLOOR_RISE = 0.0005; // share of itself an answer, lest one quiet spell binds
+    private static final double OVER_SHARE_FIRST = 10; // times as soon shed: worth less, but not nothing
+    // Each answer moves the shed share by this much, a full turn takes about a hundred; and some of the
+    // traffic is always let through, to see whether there is room again.
+    private static final double SHED_STEP = 0.01, SHED_MOST = 0.95;
     /** How often proxies tell each other what each tenant asks of them, and after how long that is stale. */
-    private static final long TELL_EVERY = 1_000_000;
-    private static final long TOLD_STALE = 5_000_000;
-    /** What was told of the other proxies counts for this long: others may count on that. */
-    private static final long FLEET_STALE = 1_500_000;
-    /** A hint counts for this many times the usual one at most, as it may be wildly wrong. */
-    private static final double HINT_MOST = 10;
-    /** What is hinted heavier than the usual is neither copied nor hedged: that would cost too much. */
-    private static final double HINT_COPIED = 1;
-    /** Hints count while latency grows with at least this power of them: wrong ones show none. */
-    private static final double HINT_TRUSTED = 0.2;
-    /** A backend holds at most this many times its part of the own requests that are let in. */
-    private static final double CROWD = 2;
-    /** The rate of good answers is averaged over this many mean aims. */
-    private static final double RATE_AIMS = 5;
-    /** A cold backend is sent at most this share of the fall multiple times its part of the good answers. */
-    private static final double COLD_PART = 0.7;
-    /**
-     * A send that was earned waits for its request for this share of the time in which a backend falls, and
-     * is lost then: what all proxies have saved up would come in one burst with a surge, and there are many.
-     * In any such time all of them then send at most (1 + this share) of COLD_PART of the whole, and chance.
-     */
-    private static final double COLD_KEPT = 0.4;
-    /** ...and no more than this many wait beside the next one. */
-    private static final double COLD_SAVED = 1;
-    /** It is drawn this much more often than its least warmth tells, as most warm up sooner. */
-    private static final double COLD_DRAW = 2;
-    /** Who finds no room is told to come back after about this many mean aims, in time for the aim still. */
-    private static final double COME_BACK_AIMS = 0.1;
-    /** A time budget under this share of the class's usual one marks a later try, trimmed to what is left. */
-    private static final double TRIMMED = 0.95;
-    /** Asked discovery: first call within this share of askWithin, so that proxies do not call in step. */
-    private static final double FIRST_ASK_SHARE = 0.2;
-    private static final long SUBSCRIBE_TOKEN = 0;
-    private static final long TELL_TOKEN = 1;
+    private static final long TELL_EVERY = 1_000_000, TOLD_STALE = 5_000_000;
+    private static final long FLEET_STALE = 1_500_000; // others may count on what was told for so long
+    private static final double HINT_MOST = 10; // times the usual one that a hint counts for: it may be wrong
+    private static final double HINT_COPIED = 1; // what is heavier is not copied or hedged: too costly
+    private static final double HINT_TRUSTED = 0.2; // least power by which latency grows: wrong show none
+    private static final double CROWD = 2; // times its part of what is let in that a backend holds at most
+    private static final double RATE_AIMS = 5; // mean aims over which the rate of good answers is averaged
+    private static final double COLD_PART = 0.7; // of the fall multiple times its part of answers, at most
+    // A send that was earned waits for its request for this share of the time in which a backend falls, and
+    // is lost then: what all proxies have saved up would come in one burst with a surge, and there are many.
+    // In any such time all of them then send at most (1 + this share) of COLD_PART of the whole, and chance.
+    // And no more than this many wait beside the next one.
+    private static final double COLD_KEPT = 0.4, COLD_SAVED = 1;
+    private static final double COLD_DRAW = 2; // times its least warmth, as most warm up sooner
+    private static final double COME_BACK_AIMS = 0.1; // or so, if there is no room: in time for the aim
+    private static final double TRIMMED = 0.95; // share of the usual time budget: below it is a later try's
+    private static final double FIRST_ASK_SHARE = 0.2; // of askWithin, so that proxies do not call in step
+    private static final long SUBSCRIBE_TOKEN = 0, TELL_TOKEN = 1;
 
     private final Settings settings;
-    private final Actions actions;
+    final Actions actions;
     private final Map<String, ServiceState> services = new HashMap<>();
     private final Map<String, TenantState> tenants = new LinkedHashMap<>();
     private final Map<Integer, double[]> told = new LinkedHashMap<>();
-    private final Map<Long, Node> nodes = new LinkedHashMap<>();
     private final Map<String, Pending> pending = new HashMap<>();
     private final Map<Long, Pending> timers = new HashMap<>();
-    private final List<ServiceState> all = new ArrayList<>(); // the unknown class first: it is open to all
     private final Node[] drawn = new Node[SAMPLE_MOST];
+    final Roster roster;
     private final ServiceState unknown;
     private final double meanAim;
-    private long random;
-    private long nextToken = TELL_TOKEN + 1;
-    private double strain, copyBudget, hedgeBudget = 1, retryBudget = 1;
+    private long random, nextToken = TELL_TOKEN + 1, okRateAt, startedAt, fleetAsOf;
+    private double strain, meanBadness, meanFloor, okRate, copyBudget, hedgeBudget = 1, retryBudget = 1;
     private double hedgeWins = HEDGES_WINNING; // hoped for, so that hedging starts
     private double provenWins; // not hoped for: copies start once hedges were seen to win
     private double mostOpen = Double.MAX_VALUE; // the limit on own requests in flight
-    private double warmWeight = 1, weightOfAll = 1; // of the window
-    private double weightBefore; // and what of it answered until then
-    private long weightBeforeAt;
-    private double meanBadness, meanFloor, okRate;
-    private long okRateAt, startedAt;
     private final Allowances allowances = new Allowances(); // nothing, unless proxies share budgets
     private Fleet fleet; // null until something is told of it
-    private long fleetAsOf;
-    private double warmOfAll = 1; // not of the window alone
     private boolean subscribed, asking;
-    private int open, inflightOfAll, ejected, failedAsks;
-    private int overLimit, shedNow, noBackend, gaveUp, copiesSent, hedgesSent, retriesSent;
-    private int ejections; // these are for the log
+    private int open, inflightOfAll, failedAsks;
+    private int overLimit, shedNow, noBackend, gaveUp, copiesSent, hedgesSent, retriesSent, ejections;
 
     /** A tenant's part of its share at this proxy, as a bucket of requests. */
     private static final class TenantState {
-        final double quota;
-        double perSecond, asked, tokens;
-        int askedNow;
+        double quota, perSecond, asked, tokens, askedNow;
         long filledAt;
-
-        TenantState(double quota, int proxies) {
-            this.quota = quota;
-            this.perSecond = quota / proxies;
-            this.tokens = perSecond;
-        }
     }
 
     private static final class Attempt {
         final Node node;
-        final String zone; // and so on as they were then: an id may come back elsewhere, another process
-        final long cell, startedAt, sentAt;
+        final Backend entry; // as it was then: an id may come back elsewhere, another process
+        final long sentAt;
         boolean ended, neverRan, overdue, settled;
 
         Attempt(Node node, long sentAt) {
             this.node = node;
-            this.zone = node.zone;
-            this.cell = node.cell;
-            this.startedAt = node.startedAt;
+            this.entry = node.place.entry;
             this.sentAt = sentAt;
         }
 
         /** Whether the process that got it is still the one that the node stands for. */
         boolean sameLife() {
-            return startedAt == node.startedAt;
+            return entry.startedAt() == node.place.entry.startedAt();
         }
     }
 
     private static final class Pending {
         final Request request;
         final ServiceState service;
-        final long arrivedAt;
-        final long deadline;
+        final long arrivedAt, deadline;
         final List<Attempt> attempts = new ArrayList<>(2);
-        int out;
+        int out, firstHedge;
         boolean closed, streaming, copied, counted;
-        int firstHedge;
         double size = 1;
 
         Pending(Request request, ServiceState service, long now) {
@@ -221,23 +145,22 @@
         this.random = seed;
         ServiceClass any = settings.classes().get(0);
         // A class that the settings do not name is treated as one that must never run twice.
-        unknown = new ServiceState(new ServiceClass("", any.aim(), 0, any.deadline(),
-            Idempotency.AT_MOST_ONCE, DedupScope.CELL, 0, any.lateWorth(), null, null));
-        all.add(unknown);
-        double aims = 0;
+        ServiceClass other = new ServiceClass("", any.aim(), 0, any.deadline(), Idempotency.AT_MOST_ONCE,
+            DedupScope.CELL, 0, any.lateWorth(), null, null);
+        meanAim = settings.classes().stream().mapToDouble(ServiceClass::aim).average().orElse(0);
+        roster = new Roster(settings.rules(), meanAim * RATE_AIMS, other);
+        unknown = new ServiceState(other, roster.pool(other));
         for (ServiceClass spec : settings.classes()) {
-            all.add(new ServiceState(spec));
-            services.put(spec.name(), all.get(all.size() - 1));
-            aims += spec.aim();
+            services.put(spec.name(), new ServiceState(spec, roster.pool(spec)));
         }
         for (Tenant tenant : settings.tenants()) {
-            tenants.put(tenant.name(), new TenantState(tenant.quotaPerSecond(), settings.proxies()));
+            TenantState state = tenants.computeIfAbsent(tenant.name(), name -> new TenantState());
+            state.quota = tenant.quotaPerSecond();
+            state.perSecond = state.tokens = state.quota / settings.proxies();
         }
-        meanAim = aims / settings.classes().size();
     }
 
-    @Override
-    public void onMembers(long now, ListScope scope, List<Backend> entries) {
+    @Override public void onMembers(long now, ListScope scope, List<Backend> entries) {
         if (scope == ListScope.CACHED) {
             okRateAt = now;
             if (settings.limits().peers() && !tenants.isEmpty() && settings.proxies() > 1) {
@@ -247,120 +170,15 @@
         if (settings.askedDiscovery() && scope != ListScope.OPERATED) {
             followDiscovery(scope);
         }
-        if (scope == ListScope.FAILED) {
-            return;
-        }
-        if (scope == ListScope.FULL || scope == ListScope.CACHED) {
-            for (Node node : nodes.values()) {
-                node.phase = Phase.GONE; // what a full list does not name is gone
-            }
-        }
-        for (Backend entry : entries) {
-            Node node = nodes.computeIfAbsent(entry.id(), Node::new);
-            if (node.startedAt != entry.startedAt()) {
-                // Proxies start out of step: full buckets at all of them together would push it over.
-                node.coldTokens = uniform();
-                node.coldFilledAt = now;
-                node.connectFailures = 0;
-                node.heard = false; // new, or restarted under the same id: cold, and nothing known holds
-                node.badness = 0;
-                node.out = false;
-                node.ejectedUntil = 0;
-                node.unreachableUntil = 0;
-            }
-            node.zone = entry.zone();
-            node.kind = entry.kind();
-            node.cell = entry.cell();
-            node.phase = entry.phase();
-            node.weight = entry.weight() > 0 ? entry.weight() : 1;
-            node.startedAt = entry.startedAt();
-            node.heard |= node.startedAt + settings.rules().coldTime() <= now; // long warm by the list alone
-        }
-        closeDrained(now);
-        rebuild(now);
-    }
-
-    /** Closes what is idle at the notice; what is busy then is closed as it ends, even if ready by then. */
-    private void closeDrained(long now) {
-        for (Node node : nodes.values()) {
-            if (node.phase == Phase.READY) {
-                node.drained = false;
-            } else if (!node.drained && settings.rules().closeOnDrainWithin() > 0) {
-                node.drained = true;
-                node.drainedAt = now;
-                actions.hangUp(node.id);
-            }
+        if (scope != ListScope.FAILED) {
+            roster.take(now, scope == ListScope.FULL || scope == ListScope.CACHED, entries, this);
+            rebuild(now);
         }
     }
 
     private void rebuild(long now) {
-        for (ServiceState service : all) {
-            service.ready.clear();
-            service.mostWeight = 0;
-        }
-        weightBefore = weightAnswered(now);
-        weightBeforeAt = now;
-        warmWeight = 0;
-        weightOfAll = 0;
-        ejected = 0;
-        nodes.values().removeIf(node -> node.phase == Phase.GONE && node.inflight == 0);
-        List<Node> ordered = new ArrayList<>(nodes.values());
-        ordered.sort(Comparator.comparingLong(node -> mixed(node.id)));
-        for (Node node : ordered) {
-            if (node.phase == Phase.READY) {
-                for (ServiceState service : all) {
-                    if (service.spec.openTo(node.zone, node.kind)) {
-                        service.ready.add(node);
-                        service.mostWeight = Math.max(service.mostWeight, node.weight);
-                    }
-                }
-                ejected += node.out ? 1 : 0;
-            }
-        }
-        for (ServiceState service : all) {
-            chooseWindow(now, service);
-        }
-        warmOfAll = unknown.ready.stream().mapToDouble(node -> node.weight * warmth(now, node)).sum();
-        for (int i = 0; i < unknown.window; i++) {
-            Node node = unknown.at(i);
-            weightOfAll += node.weight;
-            warmWeight += node.weight * warmth(now, node);
-        }
-    }
-
-    /**
-     * This proxy's window: its run of the backends, in an order and by weights that all proxies see alike.
-     * Runs of the same length start evenly, so that all backends are in as many as each other, the outer ones
-     * in part. Where backends are cold it goes on until it holds as much as if all were warm.
-     */
-    private void chooseWindow(long now, ServiceState service) {
-        int count = service.ready.size();
-        double weight = service.ready.stream().mapToDouble(node -> node.weight).sum();
-        int proxies = fleetKnown(now) ? fleet.proxies() : settings.proxies();
-        int me = fleetKnown(now) ? fleet.me() : settings.me();
-        double start = weight * me / proxies;
-        service.from = 0;
-        while (service.from < count - 1 && start >= service.at(0).weight) {
-            start -= service.at(0).weight;
-            service.from++;
-        }
-        // Backends for less than two windows are all drawn from, by small fleets as well.
-        double least = count < 2 * WINDOW_LEAST ? proxies
-            : Math.min(PROXIES_MOST, WINDOW_LEAST * proxies / count);
-        // A whole number, as between two of them some backends would be in one window more than others.
-        double wanted = weight * Math.ceil(Math.max(least, PROXIES_EACH)) / proxies;
-        service.firstPart = count == 0 ? 1 : 1 - start / service.at(0).weight;
-        service.lastPart = 1;
-        service.window = 0;
-        while (service.window < count && wanted > 0) {
-            Node node = service.at(service.window);
-            double held = node.weight * warmth(now, node) * (service.window++ == 0 ? service.firstPart : 1);
-            service.lastPart = Math.min(1, wanted / held);
-            wanted -= held;
-        }
-        if (service.window == count) {
-            service.firstPart = service.lastPart = 1; // all of them
-        }
+        boolean known = fleetKnown(now);
+        roster.rebuild(now, known ? fleet.me() : settings.me(), known ? fleet.proxies() : settings.proxies());
     }
 
     /** Subscribes once, and after failures within waits that grow: discovery is shared. */
@@ -381,13 +199,14 @@
         }
     }
 
-    @Override
-    public void onRequest(long now, Request request) {
+    @Override public void onRequest(long now, Request request) {
         // Guards against refusing the first traffic where it comes well after the first list: no answers yet.
         startedAt = startedAt == 0 ? now : startedAt;
         Pending p = new Pending(request, services.getOrDefault(request.serviceClass(), unknown), now);
         if (request.timeBudget() <= 0 || !admitted(now, p)) {
-            actions.refuse(request.id(), comeBack(request.id()));
+            // When to try again: spread, as clients refused together would else come back together.
+            double spread = (mixed(random ^ request.id().hashCode()) >>> 11) * 0x1.0p-53;
+            actions.refuse(request.id(), (long) (meanAim * COME_BACK_AIMS * (0.5 + spread)));
             return;
         }
         pending.put(request.id(), p);
@@ -402,8 +221,7 @@
         // Guards against queues that fit the aim but crowd the backends.
         double latency = wanted(meanAim, meanFloor == 0 ? Double.MAX_VALUE : meanFloor);
         double usual = rate(now) * latency / 1e6;
-        double limit = usual + LIMIT_DEVIATIONS * Math.sqrt(usual + 1) + 1;
-        mostOpen = limit;
+        mostOpen = usual + LIMIT_DEVIATIONS * Math.sqrt(usual + 1) + 1;
         ServiceState service = p.service;
         // Guards against taking heavy requests for slow backends: latencies are compared by hinted size.
         double hint = p.request.workHint();
@@ -417,12 +235,13 @@
         // Guards against tenants above their share filling the fleet: theirs is shed first.
         String share = Allowances.TENANT + p.request.tenant();
         boolean within = tenants.isEmpty() || (allowances.has(share) ? allowances.take(now, share)
-            : takeShare(now, tenants.get(p.request.tenant()), trimmed));
+            : tenants.containsKey(p.request.tenant())
+            && takeShare(now, tenants.get(p.request.tenant()), trimmed));
         // Guards against work for clients whose aim has passed in an earlier try: it can earn nothing.
         boolean hopeless = trimmed && service.spec.lateWorth() == 0
             && service.spec.deadline() - budget >= service.spec.aim();
         double shed = admission(service).shed;
-        if (hopeless && shed > 0 || open >= limit) {
+        if (hopeless && shed > 0 || open >= mostOpen) {
             overLimit++;
             return false;
         }
@@ -432,9 +251,6 @@
     }
 
     private static boolean takeShare(long now, TenantState tenant, boolean again) {
-        if (tenant == null) {
-            return false; // not in the settings: it has no share
-        }
         tenant.askedNow += again ? 0 : 1; // else refusals raise the demand that leads to refusals
         double earned = (now - tenant.filledAt) / 1e6 * tenant.perSecond;
         tenant.tokens = Math.min(tenant.perSecond + 1, tenant.tokens + earned); // saves one second's share
@@ -470,7 +286,6 @@
         return Math.min(1, Math.max(0, (wins / HEDGES_WINNING - 1.0 / 3) * 1.5));
     }
 
-    /** The ordinary path. */
     private void dispatch(long now, Pending p) {
         int count = draw(now, p, false);
         if (count == 0) {
@@ -487,7 +302,7 @@
             if (idle(now, node)) {
                 drawn[i] = drawn[idle];
                 drawn[idle++] = node;
-                if (stay && node.zone.equals(settings.zone())) {
+                if (stay && node.place.entry.zone().equals(settings.zone())) {
                     drawn[idle - 1] = drawn[near];
                     drawn[near++] = node;
                 }
@@ -515,13 +330,11 @@
             && (p.request.workHint() == 0 || p.size <= HINT_COPIED);
     }
 
-    /**
-     * Idle: nothing of ours in flight there, or clearly less than on the usual backend. The latter guards
-     * against a proxy with so much of the traffic that no backend ever reads idle, and the draw goes blind.
-     */
+    // Idle: nothing of ours in flight there, or clearly less than on the usual backend. The latter guards
+    // against a proxy with so much of the traffic that no backend ever reads idle, and the draw goes blind.
     private boolean idle(long now, Node node) {
         boolean little = node.inflight == 0
-            || node.inflight * weightOfAll < IDLE_PART * inflightOfAll * node.weight;
+            || node.inflight * roster.weightOfAll < IDLE_PART * inflightOfAll * node.place.weight();
         // After an ejection or a bad spell a trial goes first: else one that came back is never heard of.
         boolean queued = node.queuedAt > 0 && now - node.queuedAt < meanAim * EJECT_AIMS; // by its own report
         boolean trial = node.out || now - node.badSince >= meanAim * EJECT_AIMS;
@@ -532,11 +345,11 @@
     private int draw(long now, Pending p, boolean warmOnly) {
         int count = 0;
         boolean enough = false;
-        ServiceState pool = p.service;
+        Roster.Pool pool = roster.chosen(p.service.pool);
         for (int i = 0; i < SAMPLE_MOST * DRAW_TRIES && pool.window > 0
             && count < (enough ? SAMPLE : SAMPLE_MOST); i++) {
             int index = below(pool.window);
-            Node node = pool.at(index);
+            Node node = pool.near.get(index).node();
             boolean again = false;
             for (int j = 0; j < count; j++) {
                 again |= drawn[j] == node;
@@ -551,11 +364,11 @@
         }
         // Guards against losing a request when all drawn were out: the first usable one, else any allowed.
         boolean found = false;
-        for (int i = 0; i < Math.min(LAST_RESORT, pool.ready.size()) && !found; i++) {
-            Node node = pool.at(i);
+        for (int i = 0; i < Math.min(Roster.LAST_RESORT, pool.size) && !found; i++) {
+            Node node = pool.near.get(i).node();
             // A cold one is paced by the proxies that have it in their window: others leave it alone.
             boolean open = allowed(now, p, node) && paced(now, node)
-                && !((warmOnly || i >= pool.window) && cold(now, node));
+                && !((warmOnly || i >= pool.window) && roster.cold(now, node.place.entry));
             found = open && usable(now, p, node);
             if (found || open && count == 0) {
                 drawn[0] = node;
@@ -567,27 +380,24 @@
 
     /** Thins the draw by size and warmth: all proxies together send a cold backend its part only. */
     private boolean accepted(long now, Pending p, Node node, double part, boolean warmOnly) {
-        double share = part * node.weight / p.service.mostWeight;
-        if (cold(now, node)) {
-            if (warmOnly) {
-                return false;
-            }
-            share *= Math.min(1, COLD_DRAW * warmth(now, node));
-        }
-        return (share >= 1 || uniform() < share) && paced(now, node);
+        boolean cold = roster.cold(now, node.place.entry);
+        double share = part * node.place.weight() / p.service.pool.mostWeight
+            * (cold ? Math.min(1, COLD_DRAW * roster.warmth(now, node.place.entry)) : 1);
+        return !(cold && warmOnly) && (share >= 1 || uniform() < share) && paced(now, node);
     }
 
     /** Guards against pushing a cold backend over: its part of what the fleet answers bounds its sends. */
     private boolean paced(long now, Node node) {
-        if (!cold(now, node)) {
+        if (!roster.cold(now, node.place.entry)) {
             return true;
         }
         // Guards against windows that do not fit together while proxies see each other differently: all of
         // the backends' part of the own answers adds up to no more than the whole, whatever the windows.
         // And against a rate that more of them answered than there are now passing for what these can do.
-        double answered = Math.max(1, weightAnswered(now) / Math.max(1e-9, warmWeight));
-        double perSecond = rate(now) * COLD_PART * settings.rules().fallMultiple() * node.weight
-            * warmth(now, node) / Math.max(1e-9, answered * (fleetSettled(now) ? warmWeight : warmOfAll));
+        double answered = Math.max(1, roster.weightAnswered(now) / Math.max(1e-9, roster.warmWeight));
+        double perSecond = rate(now) * COLD_PART * settings.rules().fallMultiple() * node.place.weight()
+            * roster.warmth(now, node.place.entry)
+            / Math.max(1e-9, answered * (fleetSettled(now) ? roster.warmWeight : roster.warmOfAll()));
         double kept = 1 + Math.min(COLD_SAVED, perSecond * settings.rules().fallTime() / 1e6 * COLD_KEPT);
         double tokens = node.coldTokens + (now - node.coldFilledAt) / 1e6 * perSecond;
         // Whole ones are lost: what is on its way to the next stays, or proxies would come to be in step.
@@ -596,29 +406,12 @@
         return node.coldTokens >= 1;
     }
 
-    /** The weight that answers come from, averaged as their rate is. */
-    private double weightAnswered(long now) {
-        double span = meanAim * RATE_AIMS;
-        return warmWeight + (weightBefore - warmWeight) * Math.exp((weightBeforeAt - now) / span);
-    }
-
-    private boolean cold(long now, Node node) {
-        return node.startedAt > 0 && now - node.startedAt < settings.rules().coldTime();
-    }
-
-    private double warmth(long now, Node node) {
-        if (!cold(now, node)) {
-            return 1;
-        }
-        double age = Math.max(0, now - node.startedAt) / (double) settings.rules().coldTime();
-        return settings.rules().coldShare() + (1 - settings.rules().coldShare()) * age;
-    }
-
     private boolean usable(long now, Pending p, Node node) {
         boolean trial = now >= node.ejectedUntil && node.inflight == 0
             && p.service.spec.idempotency() != Idempotency.AT_MOST_ONCE; // no trial with what cannot repeat
         // Guards against all that is let in crowding the one backend that is left of many.
-        double most = CROWD * mostOpen * node.weight * warmth(now, node) / warmWeight + 1;
+        double most = CROWD * mostOpen * node.place.weight() * roster.warmth(now, node.place.entry)
+            / roster.warmWeight + 1;
         return (!node.out || trial) && node.inflight < most
             && (now >= node.unreachableUntil || node.inflight < node.connections) && allowed(now, p, node);
     }
@@ -627,39 +420,28 @@
     private boolean allowed(long now, Pending p, Node node) {
         for (int i = 0; i < p.attempts.size(); i++) {
             Attempt a = p.attempts.get(i);
-            if (a.node == node) {
+            DedupScope scope = p.service.spec.dedupScope();
+            if (a.node == node || !a.neverRan && p.service.spec.idempotency() == Idempotency.DEDUPLICATED
+                && (scope != DedupScope.ALL && !a.entry.zone().equals(node.place.entry.zone())
+                || scope == DedupScope.CELL && a.entry.cell() != node.place.entry.cell()
+                || now - a.sentAt >= p.service.spec.dedupWindow())) {
                 return false;
             }
-            if (!a.neverRan && p.service.spec.idempotency() == Idempotency.DEDUPLICATED) {
-                boolean same = p.service.spec.dedupScope() == DedupScope.ALL
-                    || p.service.spec.dedupScope() == DedupScope.ZONE && a.zone.equals(node.zone)
-                    || a.zone.equals(node.zone) && a.cell == node.cell;
-                if (!same || now - a.sentAt >= p.service.spec.dedupWindow()) {
-                    return false;
-                }
-            }
         }
-        return node.phase == Phase.READY;
+        return node.place.entry.phase() == Phase.READY;
     }
 
     /** Whether another attempt is open to this request at all. */
     private boolean mayRepeat(long now, Pending p) {
-        if (p.closed || p.streaming || now >= p.deadline && !p.request.streamed()
-            || p.request.streamed() && mayHaveRun(p)
-            || p.attempts.size() >= settings.limits().maxAttempts()
-            || p.out > 0 && !settings.limits().secondCopies()) {
-            return false;
-        }
-        return p.service.spec.idempotency() != Idempotency.AT_MOST_ONCE || !mayHaveRun(p);
+        boolean harmless = p.service.spec.idempotency() != Idempotency.AT_MOST_ONCE && !p.request.streamed();
+        return (harmless || !mayHaveRun(p)) && !p.closed && !p.streaming
+            && (now < p.deadline || p.request.streamed())
+            && p.attempts.size() < settings.limits().maxAttempts()
+            && (p.out == 0 || settings.limits().secondCopies());
     }
 
     private static boolean mayHaveRun(Pending p) {
-        for (int i = 0; i < p.attempts.size(); i++) {
-            if (!p.attempts.get(i).neverRan) {
-                return true;
-            }
-        }
-        return false;
+        return p.attempts.stream().anyMatch(attempt -> !attempt.neverRan);
     }
 
     private void send(long now, Pending p, Node node) {
@@ -674,7 +456,7 @@
         // Guards against backends kept busy by work that comes too late to be worth anything.
         long left = p.arrivedAt + aim(p) - now;
         boolean toTheEnd = p.service.spec.lateWorth() > 0 || p.request.streamed();
-        actions.send(p.request.id(), node.id, toTheEnd ? 0 : left);
+        actions.send(p.request.id(), node.place.entry.id(), toTheEnd ? 0 : left);
     }
 
     private static long aim(Pending p) {
@@ -699,26 +481,19 @@
         }
     }
 
-    @Override
-    public void onTimer(long now, long token) {
-        if (token == SUBSCRIBE_TOKEN) {
-            if (!subscribed && !asking) {
-                asking = true;
-                actions.subscribe();
-            }
-            return;
-        }
-        if (token == TELL_TOKEN) {
+    @Override public void onTimer(long now, long token) {
+        if (token == SUBSCRIBE_TOKEN && !subscribed && !asking) {
+            asking = true;
+            actions.subscribe();
+        } else if (token == TELL_TOKEN) {
             tell(now);
-            return;
         }
         Pending p = timers.remove(token);
         if (p == null || p.closed || p.streaming) {
             return;
         }
         long due = overdueAfter(p);
-        for (int i = 0; i < p.attempts.size(); i++) {
-            Attempt a = p.attempts.get(i);
+        for (Attempt a : p.attempts) {
             if (!a.ended && !a.overdue && now - a.sentAt >= due) {
                 a.overdue = true;
                 a.node.overdue++;
@@ -752,8 +527,7 @@
         return true;
     }
 
-    @Override
-    public void onOutcome(long now, String requestId, int attempt, long backend, Outcome outcome,
+    @Override public void onOutcome(long now, String requestId, int attempt, long backend, Outcome outcome,
                           long latency, boolean requestClosed, LoadReport report) {
         Pending p = pending.get(requestId);
         if (p == null || attempt < 0 || attempt >= p.attempts.size() || p.attempts.get(attempt).ended) {
@@ -766,7 +540,7 @@
         settle(a);
         a.node.queuedAt = report == null ? a.node.queuedAt : report.queued() > 0 ? now : 0;
         if (a.sentAt <= a.node.drainedAt) {
-            actions.hangUp(a.node.id); // guards against a drain that waits for a connection idle from now on
+            actions.hangUp(a.entry.id()); // guards against a drain that waits for one idle from now on
         }
         learn(now, p, a, outcome, latency);
         if (requestClosed && !p.closed) {
@@ -815,7 +589,7 @@
                 learnLatency(service, latency / p.size);
                 learnHint(service, latency, p.request.workHint());
             }
-            strain(latency / (double) service.spec.aim());
+            strain += STRAIN_WEIGHT * (Math.min(latency / (double) service.spec.aim(), 2) - strain);
             if (!a.overdue) {
                 mark(now, a, latency > overdueAfter(p) * 2);
             }
@@ -827,17 +601,15 @@
             }
             if (outcome == Outcome.TIMEOUT || outcome == Outcome.REJECTED) { // full is overload as well
                 shed(service.spec.aim(), service);
-                strain(2);
+                strain += STRAIN_WEIGHT * (2 - strain);
             }
         }
     }
 
-    /**
-     * Guards against asking again where no connection is to be had, be it down, its connections all taken by
-     * other proxies, or the way there cut. One failure among good answers proves none of these: on a way that
-     * loses a connection now and then it would shut nearly all backends out. A second one in a row does, sent
-     * after the first was known. The wait doubles.
-     */
+    // Guards against asking again where no connection is to be had, be it down, its connections all taken by
+    // other proxies, or the way there cut. One failure among good answers proves none of these: on a way that
+    // loses a connection now and then it would shut nearly all backends out. A second one in a row does, sent
+    // after the first was known. The wait doubles.
     private void unreachable(long now, Attempt a) {
         Node node = a.node;
         if (!a.sameLife() || node.connectFailures > 0 && a.sentAt < node.connectFailedAt) {
@@ -900,10 +672,6 @@
         return service.spec.runsIn() == null && service.spec.kindsOpen() == null ? unknown : service;
     }
 
-    private void strain(double ratio) {
-        strain += STRAIN_WEIGHT * (Math.min(ratio, 2) - strain);
-    }
-
     /** Moves a backend's badness; a bad run ejects it for a while, a good trial lets it back. */
     private void mark(long now, Attempt a, boolean bad) {
         Node node = a.node;
@@ -918,17 +686,18 @@
         node.badSince = !bad ? 0 : node.badSince == 0 ? now : node.badSince;
         boolean lasting = bad && (node.out || now - node.badSince >= meanAim * EJECT_AFTER_AIMS);
         if (lasting && node.badness > most && now >= node.ejectedUntil
-            && (node.out || ejected < unknown.window * EJECT_MOST)) {
-            double sends = EJECT_SENDS * unknown.window * 1e6 / Math.max(1, rate(now));
+            && (node.out || roster.ejected < unknown.pool.window * EJECT_MOST)) {
+            double sends = EJECT_SENDS * unknown.pool.window * 1e6 / Math.max(1, rate(now));
             node.span = node.out ? 2 * node.span : Math.max(meanAim * EJECT_AIMS, sends);
             node.span = Math.min(meanAim * EJECT_MOST_AIMS, node.span);
             node.ejectedUntil = now + (long) (node.span * (0.75 + uniform() / 2));
-            ejected += node.out ? 0 : 1;
             ejections++;
+            roster.ejected += node.out ? 0 : 1;
             node.out = true;
+            roster.outs.add(node);
         } else if (!bad && node.out && now >= node.ejectedUntil) {
             node.out = false;
-            ejected--;
+            roster.ejected--;
         }
     }
 
@@ -938,6 +707,9 @@
         open -= p.counted ? 1 : 0;
         p.counted = false;
         cancelOthers(p, winner);
+        if (p.out == 0) {
+            pending.remove(p.request.id());
+        }
     }
 
     private void cancelOthers(Pending p, int winner) {
@@ -948,12 +720,6 @@
         }
     }
 
-    /** When to try again: spread, as clients refused together would else come back together. */
-    private long comeBack(String requestId) {
-        double spread = (mixed(random ^ requestId.hashCode()) >>> 11) * 0x1.0p-53;
-        return (long) (meanAim * COME_BACK_AIMS * (0.5 + spread));
-    }
-
     /** The one final answer: a refusal where trying again is harmless, else a failure. */
     private void giveUp(Pending p) {
         close(p, -1);
@@ -965,13 +731,9 @@
         } else {
             actions.fail(p.request.id());
         }
-        if (p.out == 0) {
-            pending.remove(p.request.id());
-        }
     }
 
-    @Override
-    public void onStreamStart(long now, String requestId, int attempt, long backend, long latency) {
+    @Override public void onStreamStart(long now, String requestId, int attempt, long backend, long latency) {
         Pending p = pending.get(requestId);
         if (p != null && !p.closed && attempt >= 0 && attempt < p.attempts.size()) {
             p.streaming = true;
@@ -983,23 +745,14 @@
         }
     }
 
-    @Override
-    public void onClientGone(long now, String requestId) {
+    @Override public void onClientGone(long now, String requestId) {
         Pending p = pending.get(requestId);
         if (p != null && !p.closed) {
             close(p, -1);
-            if (p.out == 0) {
-                pending.remove(requestId);
-            }
         }
     }
 
-    @Override
-    public void onProbe(long now, long backend, Outcome outcome, long latency, LoadReport report) {
-    }
-
-    @Override
-    public void onFleet(long now, Fleet told) {
+    @Override public void onFleet(long now, Fleet told) {
         boolean moved = !fleetKnown(now) || told.proxies() != fleet.proxies() || told.me() != fleet.me();
         fleet = told;
         fleetAsOf = now - told.age();
@@ -1008,13 +761,11 @@
         }
     }
 
-    @Override
-    public void onBudgets(long now, long telling, long until, List<BudgetPart> parts) {
+    @Override public void onBudgets(long now, long telling, long until, List<BudgetPart> parts) {
         allowances.told(now, telling, until, parts);
     }
 
-    @Override
-    public List<BudgetUse> budgets(long now) {
+    @Override public List<BudgetUse> budgets(long now) {
         return allowances.uses(now);
     }
 
@@ -1027,32 +778,25 @@
         return fleet == null || fleetKnown(now) && fleet.agreement() == Agreement.ALL;
     }
 
-    @Override
-    public void onPeerMessage(long now, int from, String message) {
+    @Override public void onPeerMessage(long now, int from, String message) {
         String[] parts = message.split(" ", -1);
         boolean known = from >= 0 && from < settings.proxies() && from != settings.me();
         if (!known || parts.length != tenants.size()) {
             return;
         }
         double[] asked = new double[parts.length + 1];
-        for (int i = 0; i < parts.length; i++) {
-            try {
-                asked[i] = Double.parseDouble(parts[i]);
-            } catch (NumberFormatException e) {
-                return; // garbled on the way: the last good word holds until it is stale
-            }
-            if (!(asked[i] >= 0 && asked[i] < 1e9)) {
-                return;
-            }
+        try {
+            Arrays.setAll(asked, i -> i < parts.length ? Double.parseDouble(parts[i]) : now);
+        } catch (NumberFormatException e) {
+            return; // garbled on the way: the last good word holds until it is stale
+        }
+        if (Arrays.stream(asked, 0, parts.length).allMatch(each -> each >= 0 && each < 1e9)) {
+            told.put(from, asked); // with the time
         }
-        asked[parts.length] = now; // the last figure is the time
-        told.put(from, asked);
     }
 
-    /**
-     * Tells what each tenant asked here, and takes this proxy's part of each quota by its part of the demand.
-     * Guards against refusing a tenant within its share at a proxy that carries more than its part.
-     */
+    // Tells what each tenant asked here, and takes this proxy's part of each quota by its part of the demand.
+    // Guards against refusing a tenant within its share at a proxy that carries more than its part.
     private void tell(long now) {
         StringBuilder message = new StringBuilder();
         int i = 0;
@@ -1071,8 +815,7 @@
             all *= Math.max(proxies, heard) / (double) heard; // those not heard of count as average
             double even = 1.0 / proxies;
             double part = all > 0 && heard > 1 ? tenant.asked / all : even;
-            // Guards against quotas that add up to more than the whole while nobody knows who takes which
-            // part.
+            // Guards against quotas that add up to more than the whole while nobody knows who takes what.
             double safe = fleetKnown(now) ? fleet.share() : fleet == null ? even : fleet.leastShare();
             tenant.perSecond = tenant.quota * (fleetSettled(now) ? Math.max(part, even / 4) : safe);
             message.append(i++ == 0 ? "" : " ").append(Math.round(tenant.asked));
@@ -1081,28 +824,28 @@
         actions.setTimer(TELL_EVERY, TELL_TOKEN);
     }
 
-    @Override
-    public String status(long now) {
+    @Override public String status(long now) {
         StringBuilder text = new StringBuilder(String.format(Locale.ROOT,
             "over-limit=%d shed=%d no-backend=%d gave-up=%d copies=%d hedges=%d retries=%d ejections=%d;"
             + " open=%d shed-share=%.2f strain=%.2f good/s=%.0f", overLimit, shedNow, noBackend, gaveUp,
             copiesSent, hedgesSent, retriesSent, ejections, open, unknown.shed, strain, rate(now)));
-        for (Node node : unknown.ready) {
-            text.append(String.format(Locale.ROOT, " [%d%s%s%s bad=%.2f]", node.inflight,
-                node.out ? " out" : "", now < node.unreachableUntil ? " unreachable" : "",
-                cold(now, node) ? " cold" : "", node.badness));
-        }
+        Roster.Pool pool = unknown.pool; // of many the window's first are shown
+        (pool.size > Roster.LAST_RESORT ? pool.near.stream().limit(Roster.LAST_RESORT) : pool.stream())
+            .map(Ring.Place::node).forEach(node -> text.append(String.format(Locale.ROOT,
+                " [%d%s%s%s bad=%.2f]", node.inflight, node.out ? " out" : "",
+                now < node.unreachableUntil ? " unreachable" : "",
+                roster.cold(now, node.place.entry) ? " cold" : "", node.badness)));
         overLimit = shedNow = noBackend = gaveUp = copiesSent = hedgesSent = retriesSent = ejections = 0;
         return text.toString();
     }
 
     /** SplitMix64: small, good enough for draws, the same wherever it is ported to. */
-    private double uniform() {
+    double uniform() {
         random += 0x9E3779B97F4A7C15L;
         return (mixed(random) >>> 11) * 0x1.0p-53;
     }
 
-    private static long mixed(long z) {
+    static long mixed(long z) {
         z = (z ^ (z >>> 30)) * 0xBF58476D1CE4E5B9L;
         z = (z ^ (z >>> 27)) * 0x94D049BB133111EBL;
         return z ^ (z >>> 31);
--- /dev/null
+++ b/decision/src/main/java/dockrelay/Roster.java
@@ -0,0 +1,224 @@
+package dockrelay;
+
+import dockrelay.Balancer.Backend;
+import dockrelay.Balancer.Phase;
+import dockrelay.Balancer.ServiceClass;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+
+/** All backends that are listed, or gone and busy still, and windows on them. A change costs what changed. */
+final class Roster extends Ring {
+    // Proxies with a backend in their window. A proxy knows no load but its own: the fewer share a backend,
+    // the more that tells of the whole. Still a window holds some backends, so that a few bad ones do not
+    // matter, unless too many proxies shared each: all-to-all connections run out.
+    private static final double PROXIES_EACH = 2, PROXIES_MOST = 35, WINDOW_LEAST = 8;
+    static final int LAST_RESORT = 64; // backends looked at when none of the drawn could be used
+
+    private final Balancer.Rules rules;
+    private final double span; // of the average of answers
+    final HashMap<List<Object>, Pool> pools = new HashMap<>();
+    private final Pool any;
+    private final HashSet<Place> going = new HashSet<>();
+    final HashSet<Node> outs = new HashSet<>(); // those ejected, and some that were
+    private int event, born, round, proxies, me;
+    private long builtAt;
+    private double weightBefore, warmOfAll = 1; // what answered until then; and not of the window alone
+    double warmWeight = 1, weightOfAll = 1; // of the window
+    int ejected;
+
+    /** The ready backends that are open to some classes alike, and this proxy's window on them. */
+    final class Pool extends Ring {
+        final ServiceClass spec;
+        final List<Place> near = new ArrayList<>(); // the first ones are the window's
+        double mostWeight, firstPart, lastPart; // of the outer ones: the rest is the neighbours'
+        double held, warm; // weights of the window
+        int window, chosen; // as of that round
+
+        Pool(ServiceClass spec) {
+            this.spec = spec;
+        }
+
+        private boolean isOpenTo(Backend entry) {
+            return entry != null && entry.phase() == Phase.READY && spec.openTo(entry.zone(), entry.kind());
+        }
+
+        /** How much of one of the window's backends is this window's. */
+        double part(int index) {
+            return index == 0 ? firstPart : index == window - 1 ? lastPart : 1;
+        }
+
+        // This proxy's window: its run of the backends, in an order and by weights that all see alike. Runs
+        // of the same length start evenly, so that all backends are in as many as each other, the outer ones
+        // in part. Where backends are cold it goes on until it holds as much as if all were warm.
+        private void choose() {
+            int count = size, passed = 0, b = 0;
+            double weight = blocks.stream().mapToDouble(block -> block.summed().sum).sum();
+            mostWeight = blocks.stream().mapToDouble(block -> block.most).max().orElse(0);
+            double start = weight * me / proxies;
+            while (b < blocks.size() - 1 && start >= blocks.get(b).sum) {
+                start -= blocks.get(b).sum; // past all of them at once
+                passed += blocks.get(b++).places.size();
+            }
+            // Backends for less than two windows are all drawn from, by small fleets as well.
+            double least = count < 2 * WINDOW_LEAST ? proxies
+                : Math.min(PROXIES_MOST, WINDOW_LEAST * proxies / count);
+            // A whole number, as between two of them some backends would be in one window more than others.
+            double wanted = weight * Math.ceil(Math.max(least, PROXIES_EACH)) / proxies;
+            near.clear();
+            held = warm = window = 0;
+            for (int i = 0; window < count && wanted > 0 || near.size() < Math.min(LAST_RESORT, count); i++) {
+                while (i >= blocks.get(b).places.size()) {
+                    i = 0;
+                    b = (b + 1) % blocks.size();
+                }
+                Place place = blocks.get(b).places.get(i);
+                steps++;
+                if (near.isEmpty() && passed < count - 1 && start >= place.weight()) {
+                    start -= place.weight();
+                    passed++;
+                    continue;
+                }
+                near.add(place);
+                if (wanted > 0) {
+                    firstPart = window == 0 ? 1 - start / place.weight() : firstPart;
+                    double warmed = place.weight() * warmth(builtAt, place.entry);
+                    double part = warmed * (window++ == 0 ? firstPart : 1);
+                    lastPart = Math.min(1, wanted / part);
+                    wanted -= part;
+                    held += place.weight();
+                    warm += warmed;
+                }
+            }
+            if (window == count) {
+                firstPart = lastPart = 1; // all of them
+            }
+        }
+    }
+
+    /** The unknown class is open to all. */
+    Roster(Balancer.Rules rules, double span, ServiceClass unknown) {
+        this.rules = rules;
+        this.span = span;
+        any = pool(unknown);
+    }
+
+    /** Classes that are open to the same backends share one. */
+    Pool pool(ServiceClass spec) {
+        return pools.computeIfAbsent(Arrays.asList(spec.runsIn(), spec.kindsOpen()), open -> new Pool(spec));
+    }
+
+    /** A window is chosen where it is asked for, and holds until the next change. */
+    Pool chosen(Pool pool) {
+        if (pool.chosen != round) {
+            pool.chosen = round;
+            pool.choose();
+        }
+        return pool;
+    }
+
+    void take(long now, boolean whole, List<Backend> entries, RiqBalancer by) {
+        List<Place> leaving = new ArrayList<>();
+        event++;
+        for (Backend entry : entries) {
+            Place place = get(entry.id());
+            Backend before = place == null ? null : place.entry;
+            if (place == null) {
+                place = new Place(born++, entry);
+                add(place);
+            }
+            boolean restarted = entry.startedAt() != (before == null ? 0 : before.startedAt());
+            boolean warm = entry.startedAt() + rules.coldTime() <= now; // by the list alone
+            move(place, before, entry);
+            place.listed = event;
+            // Proxies start out of step: full buckets at all of them together would push it over.
+            double tokens = restarted ? by.uniform() : 0;
+            if (restarted && (place.node != null || !warm)) {
+                place.node().restart(now, tokens);
+            }
+            if (place.node != null) {
+                place.node.heard |= warm;
+            }
+            if (entry.phase() != Phase.READY || place.drained) {
+                leaving.add(place);
+            }
+        }
+        if (whole) {
+            stream().filter(place -> place.listed != event).forEach(place -> {
+                Backend old = place.entry; // what a full list does not name is gone
+                move(place, old, new Backend(old.id(), old.zone(), old.kind(), old.cell(), Phase.GONE,
+                    old.weight(), old.startedAt()));
+                leaving.add(place);
+            });
+        }
+        // What is idle is closed at the notice, what is busy then as it ends, even if ready by then.
+        leaving.sort((one, other) -> one.number - other.number);
+        for (Place place : leaving) {
+            boolean drained = place.entry.phase() != Phase.READY && rules.closeOnDrainWithin() > 0;
+            if (drained && !place.drained) {
+                place.node().drainedAt = now;
+                by.actions.hangUp(place.entry.id());
+            }
+            place.drained = drained;
+        }
+    }
+
+    private void move(Place place, Backend before, Backend entry) {
+        place.entry = entry;
+        for (Pool pool : entry.equals(before) ? List.<Pool>of() : pools.values()) {
+            boolean was = pool.isOpenTo(before), is = pool.isOpenTo(entry);
+            if (was && is) {
+                pool.changed(place);
+            } else if (was) {
+                pool.remove(place);
+            } else if (is) {
+                pool.add(place);
+            }
+        }
+        if (entry.phase() == Phase.GONE) {
+            going.add(place);
+        }
+    }
+
+    /** After each change: this proxy is the so manieth of so many. */
+    void rebuild(long now, int number, int of) {
+        weightBefore = weightAnswered(now);
+        builtAt = now;
+        me = number;
+        proxies = of;
+        round++;
+        warmOfAll = Double.NaN; // until it is asked for
+        going.removeIf(place -> place.entry.phase() != Phase.GONE
+            || (place.node == null || place.node.inflight == 0) && remove(place));
+        outs.removeIf(node -> !node.out || node.place.entry.phase() == Phase.GONE && node.inflight == 0);
+        ejected = (int) outs.stream().filter(node -> node.place.entry.phase() == Phase.READY).count();
+        warmWeight = chosen(any).warm;
+        weightOfAll = any.held;
+    }
+
+    /** The weight that answers come from, averaged as their rate is. */
+    double weightAnswered(long now) {
+        return warmWeight + (weightBefore - warmWeight) * Math.exp((builtAt - now) / span);
+    }
+
+    double warmOfAll() {
+        if (Double.isNaN(warmOfAll)) {
+            warmOfAll = any.stream().mapToDouble(each -> each.weight() * warmth(builtAt, each.entry)).sum();
+        }
+        return warmOfAll;
+    }
+
+    boolean cold(long now, Backend entry) {
+        return entry.startedAt() > 0 && now - entry.startedAt() < rules.coldTime();
+    }
+
+    double warmth(long now, Backend entry) {
+        if (!cold(now, entry)) {
+            return 1;
+        }
+        double age = Math.max(0, now - entry.startedAt()) / (double) rules.coldTime();
+        return rules.coldShare() + (1 - rules.coldShare()) * age;
+    }
+}
