Take a list of 86,000 in as it comes, and forget whom it does not name

Listing looked through all numbers for each new name (containsValue): 5.5 s at 20,000 and 110 s at 86,000, and kept each name for ever. A list had to be in one object of at most 4 MB, parsed as maps: some 30,000 entries. The pool kept a queue for each backend and looked at all of them twice a second; whether any is ready was looked up among all.

ListParser reads entries as their bytes come, a part at a time so that requests have their turn, and Listing makes of each what it keeps: zones, kinds, names and what has not changed are shared, addresses take a quarter. Numbers are made of the name alone and found both ways in one map; of two names that fall together the later gets the next number, and keeps it while it is listed, also when the other one leaves. Names are forgotten with the backend, but for the last 1,000 that left, which operators may call about. Ready ones are counted. The pool knows addresses, more only of those sent to, and its idle connections in their order. A try that is about to tell a long list gets no other one beside it.

--- a/decision/src/main/java/dockrelay/Ring.java
+++ b/decision/src/main/java/dockrelay/Ring.java
@@ -12,6 +12,7 @@
     /** An entry of the list, and what is known of the backend beside that: null until it matters. */
     static final class Place {
         final int number; // in the order of their coming
+        final long key;
         Balancer.Backend entry;
         Node node;
         int listed; // at this event of the list
@@ -20,6 +21,7 @@
         Place(int number, Balancer.Backend entry) {
             this.number = number;
             this.entry = entry;
+            this.key = RiqBalancer.mixed(entry.id());
         }
 
         double weight() {
@@ -52,39 +54,39 @@
     int size;
     long steps; // places looked at or moved: for tests
 
-    private int compare(Place place, long id) {
+    private int compare(Place place, long key) {
         steps++;
-        return Long.compare(RiqBalancer.mixed(place.entry.id()), RiqBalancer.mixed(id));
+        return Long.compare(place.key, key);
     }
 
     /** The number of the block where it is, or would be. */
-    private int block(long id) {
+    private int block(long key) {
         int at = Collections.binarySearch(blocks, null, (block, none) -> block.places.isEmpty() ? -1
-            : compare(block.places.get(0), id));
+            : compare(block.places.get(0), key));
         return at >= 0 ? at : Math.max(0, -2 - at);
     }
 
-    private int index(Block block, long id) {
-        return Collections.binarySearch(block.places, null, (place, none) -> compare(place, id));
+    private int index(Block block, long key) {
+        return Collections.binarySearch(block.places, null, (place, none) -> compare(place, key));
     }
 
     /** Null where there is none. */
     Place get(long id) {
-        Block block = blocks.get(block(id));
-        int index = index(block, id);
+        Block block = blocks.get(block(RiqBalancer.mixed(id)));
+        int index = index(block, RiqBalancer.mixed(id));
         return index < 0 ? null : block.places.get(index);
     }
 
     /** Something else is to be said of its block now. */
     Block changed(Place place) {
-        Block block = blocks.get(block(place.entry.id()));
+        Block block = blocks.get(block(place.key));
         block.summed = false;
         return block;
     }
 
     void add(Place place) {
         Block block = changed(place);
-        block.places.add(-1 - index(block, place.entry.id()), place);
+        block.places.add(-1 - index(block, place.key), place);
         size++;
         if (block.places.size() > MOST) {
             List<Place> half = block.places.subList(MOST / 2, MOST + 1);
@@ -98,7 +100,7 @@
     /** Removes one that is there. */
     boolean remove(Place place) {
         Block block = changed(place);
-        block.places.remove(index(block, place.entry.id()));
+        block.places.remove(index(block, place.key));
         size--;
         return !block.places.isEmpty() || blocks.size() == 1 || blocks.remove(block);
     }
--- a/decision/src/main/java/dockrelay/Roster.java
+++ b/decision/src/main/java/dockrelay/Roster.java
@@ -167,7 +167,7 @@
 
     private void move(Place place, Backend before, Backend entry) {
         place.entry = entry;
-        for (Pool pool : entry.equals(before) ? List.<Pool>of() : pools.values()) {
+        for (Pool pool : entry == before ? List.<Pool>of() : pools.values()) {
             boolean was = pool.isOpenTo(before), is = pool.isOpenTo(entry);
             if (was && is) {
                 pool.changed(place);
--- a/proxy/src/main/java/dockrelay/proxy/BackendPool.java
+++ b/proxy/src/main/java/dockrelay/proxy/BackendPool.java
@@ -2,6 +2,7 @@
 
 import dockrelay.Balancer.LoadReport;
 import dockrelay.Balancer.Outcome;
+import dockrelay.Balancer.Phase;
 import dockrelay.proxy.Counters.Count;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -29,12 +30,15 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.collection.LongObjectMap;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Future;
@@ -75,7 +79,9 @@
     private final int fullMost;
     private int most;
     private final long idleNanos, settledNanos;
-    private final Map<Long, Peer> peers = new HashMap<>();
+    private LongObjectMap<RequestTable.Member> listed = Listing.map(0);
+    private final Map<Long, Peer> peers = new HashMap<>(); // those of them that were sent to
+    private final Set<Connection> idle = new LinkedHashSet<>(); // the first one was used first
     private int connections;
     private boolean spoilt;
     private long spoiltAt; // when an answer last could not be read
@@ -96,10 +102,16 @@
     }
 
     private static final class Peer {
+        final long id;
         SocketAddress address;
         boolean ready, stray;
         long strayAt;
+        int open;
         final Deque<Connection> idle = new ArrayDeque<>(); // the last one was used last
+
+        Peer(long id) {
+            this.id = id;
+        }
     }
 
     BackendPool(Bootstrap template, EventLoop loop, int most, long connectTimeout, long connectionIdle,
@@ -145,26 +157,68 @@
     }
 
     /** Where a backend listens now, and whether it may be sent anything new. */
-    void learn(long backend, SocketAddress address, boolean ready) {
-        Peer peer = peers.computeIfAbsent(backend, id -> new Peer());
-        boolean moved = address != null && !address.equals(peer.address);
-        peer.address = address == null ? peer.address : address;
-        peer.ready = ready;
-        if (!ready || moved) {
-            closeIdle(peer);
+    void learn(RequestTable.Member member) {
+        long id = member.backend().id();
+        if (member.backend().phase() == Phase.GONE) {
+            listed.remove(id);
+        } else {
+            listed.put(id, member);
+        }
+        Peer peer = peers.get(id);
+        if (peer != null) {
+            update(peer, member);
         }
     }
 
-    /** Forgets that all backends but those named next may be sent anything: a full list follows. */
-    void unlist(Set<Long> named) {
-        for (Map.Entry<Long, Peer> entry : peers.entrySet()) {
-            if (!named.contains(entry.getKey())) {
-                entry.getValue().ready = false;
-                closeIdle(entry.getValue());
+    /** Likewise of all there are: none but these may be sent anything. */
+    void learnAll(List<RequestTable.Member> members) {
+        listed = Listing.map(members.size());
+        for (RequestTable.Member member : members) {
+            learn(member);
+        }
+        for (Peer peer : List.copyOf(peers.values())) {
+            if (!listed.containsKey(peer.id)) {
+                peer.ready = false;
+                closeIdle(peer);
+                forget(peer);
             }
         }
     }
 
+    private void update(Peer peer, RequestTable.Member member) {
+        boolean moved = member.address() != null && !member.address().equals(peer.address);
+        peer.address = member.address() == null ? peer.address : member.address();
+        peer.ready = member.backend().phase() == Phase.READY;
+        if (!peer.ready || moved) {
+            closeIdle(peer);
+        }
+        forget(peer);
+    }
+
+    /** What is listed is there to be sent to at any time; of what is not, only what is open still matters. */
+    private void forget(Peer peer) {
+        if (peer.open == 0 && !listed.containsKey(peer.id)) {
+            peers.remove(peer.id, peer);
+        }
+    }
+
+    /** One that is sent to; null where no list has it. */
+    private Peer peer(long backend) {
+        Peer peer = peers.get(backend);
+        RequestTable.Member member = peer == null ? listed.get(backend) : null;
+        if (member != null) {
+            peer = new Peer(backend);
+            peers.put(backend, peer);
+            update(peer, member);
+        }
+        return peer;
+    }
+
+    /** Backends that it knows more of than where they are. */
+    int used() {
+        return peers.size();
+    }
+
     /** Closes the connections to a backend that carry nothing now. */
     void hangUp(long backend) {
         Peer peer = peers.get(backend);
@@ -173,14 +227,20 @@
         }
     }
 
-    private static void closeIdle(Peer peer) {
-        Connection idle = peer.idle.pollFirst();
-        while (idle != null) {
-            idle.channel.close();
-            idle = peer.idle.pollFirst();
+    private void closeIdle(Peer peer) {
+        Connection next = peer.idle.peekFirst();
+        while (next != null) {
+            drop(next);
+            next = peer.idle.peekFirst();
         }
     }
 
+    private void drop(Connection connection) {
+        connection.peer.idle.remove(connection);
+        idle.remove(connection);
+        connection.channel.close();
+    }
+
     /** Sends a request that is there whole, at once or never; the timeout is in microseconds. */
     Exchange send(long backend, FullHttpRequest request, long timeout, Listener listener) {
         return send(backend, request, null, timeout, listener);
@@ -188,7 +248,7 @@
 
     /** Sends a request whose body, if there is one, goes on as it comes: the timeout starts with its end. */
     Exchange send(long backend, HttpRequest request, Body body, long timeout, Listener listener) {
-        Peer peer = peers.get(backend);
+        Peer peer = peer(backend);
         Exchange exchange = new Exchange(peer, request, body, timeout, listener);
         if (peer == null || peer.address == null || timeout <= 0) {
             exchange.end(Outcome.NOT_SENT, null);
@@ -222,6 +282,7 @@
                 continue; // what else comes on it may belong to the answer it just gave
             }
             kept.remove();
+            idle.remove(last);
             if (last.channel.isActive() && now - last.idleSince < idleNanos) {
                 return last;
             }
@@ -232,36 +293,31 @@
 
     /** Makes room for a new connection by closing the one that was idle longest. */
     private boolean evict() {
-        Peer oldest = null;
-        for (Peer peer : peers.values()) {
-            Connection first = peer.idle.peekFirst();
-            if (first != null && (oldest == null || first.idleSince < oldest.idle.peekFirst().idleSince)) {
-                oldest = peer;
-            }
-        }
-        if (oldest == null) {
-            return false;
+        Iterator<Connection> oldest = idle.iterator();
+        boolean any = oldest.hasNext();
+        if (any) {
+            drop(oldest.next());
         }
-        oldest.idle.pollFirst().channel.close();
-        return true;
+        return any;
     }
 
     private void connect(Exchange exchange) {
         connections++;
+        exchange.peer.open++;
         counters.add(Count.CONNECTS);
         SocketAddress address = exchange.peer.address;
-        ChannelFuture connecting = bootstrap.connect(address);
+        ChannelFuture connecting = bootstrap.connect(Endpoint.socket(address));
         exchange.channel = connecting.channel();
         connecting.addListener(done -> {
             if (!done.isSuccess()) {
-                connections--;
+                closed(exchange.peer);
                 // No socket to be had is our own lack: the backend is not to blame.
                 exchange.end(done.cause() instanceof ChannelException ? Outcome.NOT_SENT
                     : Outcome.CONNECT_FAILURE, null);
                 return;
             }
             Channel channel = connecting.channel();
-            channel.closeFuture().addListener(closed -> connections--);
+            channel.closeFuture().addListener(over -> closed(exchange.peer));
             if (exchange.ended) {
                 channel.close();
             } else if (!exchange.peer.ready) {
@@ -276,13 +332,17 @@
         });
     }
 
+    private void closed(Peer peer) {
+        connections--;
+        peer.open--;
+        forget(peer);
+    }
+
     /** Drops what has stood idle so long that the backend may be about to close it. */
     private void sweep() {
         long now = System.nanoTime();
-        for (Peer peer : peers.values()) {
-            while (!peer.idle.isEmpty() && now - peer.idle.peekFirst().idleSince >= idleNanos) {
-                peer.idle.pollFirst().channel.close();
-            }
+        while (!idle.isEmpty() && now - idle.iterator().next().idleSince >= idleNanos) {
+            evict();
         }
     }
 
@@ -616,6 +676,7 @@
                 channel.config().setAutoRead(true);
                 idleSince = System.nanoTime();
                 peer.idle.addLast(this);
+                idle.add(this);
             } else {
                 context.close();
             }
@@ -679,6 +740,7 @@
                 exchange.end(exchange.written ? Outcome.RESET : Outcome.CONNECT_FAILURE, null);
             } else if (peer != null) {
                 peer.idle.remove(this);
+                idle.remove(this);
             }
         }
 
--- a/proxy/src/main/java/dockrelay/proxy/Discovery.java
+++ b/proxy/src/main/java/dockrelay/proxy/Discovery.java
@@ -29,7 +29,6 @@
     private InetSocketAddress address;
     private final boolean asked;
     private final RequestTable table;
-    private final Operators operators;
     private final Listing listing;
     private volatile boolean anyReady;
     private long version = -1;
@@ -43,7 +42,6 @@
     private boolean following, closed;
 
     Discovery(Bootstrap template, EventLoop loop, Config config, RequestTable table, Operators operators) {
-        this.operators = operators;
         this.listing = new Listing(operators);
         this.asked = config.settings().askedDiscovery();
         long within = TimeUnit.MICROSECONDS.toMillis(config.settings().rules().askWithin());
@@ -84,9 +82,9 @@
 
     /** The operators have changed what holds for this backend. */
     void operated(String name) {
-        RequestTable.Member member = listing.get(name);
+        RequestTable.Member member = listing.operated(name);
         if (member != null) {
-            tell(ListScope.OPERATED, List.of(operators.overlay(name, member)));
+            tell(ListScope.OPERATED, List.of(member));
         }
     }
 
@@ -140,11 +138,13 @@
         attemptIn(ListClock.BESIDE);
     }
 
-    /** The next try, unless one speaks before. */
+    /** The next try, unless one speaks before, or is about to: a long list takes its time. */
     private void attemptIn(long millis) {
         int mine = ++round;
         loop.schedule(() -> {
-            if (mine == round && !closed) {
+            if (mine == round && !closed && trying.stream().anyMatch(ListWatch::moves)) {
+                attemptIn(ListClock.LATENESS);
+            } else if (mine == round && !closed) {
                 attempt();
             }
         }, millis, TimeUnit.MILLISECONDS);
@@ -203,9 +203,14 @@
     }
 
     @Override
-    public void said(ListWatch by, Map<?, ?> update) {
-        long told = (long) Config.number(update, "version", -1);
-        boolean full = Boolean.TRUE.equals(update.get("full"));
+    public Object read(Map<?, ?> entry) {
+        return listing.read(entry);
+    }
+
+    @Override
+    public void said(ListWatch by, ListParser.Update update) {
+        long told = update.version();
+        boolean full = update.full();
         takes(by);
         boolean first = by != heard;
         heard = by;
@@ -218,7 +223,7 @@
         }
         behind = 0;
         backoff.reset();
-        List<RequestTable.Member> members = listing.take(Config.list(update, "servers"), full);
+        List<RequestTable.Member> members = listing.take(update.entries(), full);
         Log.line("discovery", (full ? "list of version " : "changes to version ") + told + ", entries "
             + members.size());
         version = told;
--- a/proxy/src/main/java/dockrelay/proxy/ListWatch.java
+++ b/proxy/src/main/java/dockrelay/proxy/ListWatch.java
@@ -1,16 +1,13 @@
 package dockrelay.proxy;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonParser;
-import dockrelay.settings.Json;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufInputStream;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -22,28 +19,29 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.json.JsonObjectDecoder;
 import io.netty.handler.timeout.ReadTimeoutException;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** One watch on the list: a connection, what is asked on it, and its answer taken apart into objects. */
 final class ListWatch {
-    private static final int LONGEST_OBJECT = 4 << 20;
+    private static final int LONGEST_READ = 16 << 10;
     private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(ListClock.SILENT);
-    private static final JsonFactory JSON = new JsonFactory();
+    private static final long LATENESS_NANOS = TimeUnit.MILLISECONDS.toNanos(ListClock.LATENESS);
 
     /** Hears what a watch says, on the event loop. */
     interface Hearer {
         /** Between two objects: nothing has changed, as far as discovery knows. */
         void alive(ListWatch watch);
 
-        /** One object, however it is laid out. */
-        void said(ListWatch watch, Map<?, ?> update);
+        /** What is to be kept of one entry, as soon as it has come. */
+        Object read(Map<?, ?> entry);
+
+        /** One object, however it is laid out, with its entries as they were read. */
+        void said(ListWatch watch, ListParser.Update update);
 
         /** It is over, once; silent if it only ceased to speak. */
         void over(ListWatch watch, String why, boolean silent);
@@ -51,7 +49,7 @@
 
     private final Hearer hearer;
     private final Channel channel;
-    private long withinSince;
+    private long withinSince, movedAt = Long.MIN_VALUE / 2;
     private String why = "connection closed";
     private boolean silent, over, within; // an object of which more is to come
 
@@ -59,13 +57,15 @@
         this.hearer = hearer;
         ChannelFuture connecting = template.clone()
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, ListClock.CONNECT)
+            // Requests have their turn between two parts of a long list.
+            .option(ChannelOption.RECVBUF_ALLOCATOR,
+                new FixedRecvByteBufAllocator(LONGEST_READ).maxMessagesPerRead(1))
             .handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel made) {
                     made.pipeline().addLast(
                         new ReadTimeoutHandler(ListClock.SILENT, TimeUnit.MILLISECONDS),
-                        new HttpClientCodec(), new Answer(), new JsonObjectDecoder(LONGEST_OBJECT),
-                        new Objects());
+                        new HttpClientCodec(), new Answer(), new Objects());
                 }
             }).connect(address);
         channel = connecting.channel();
@@ -82,6 +82,11 @@
         });
     }
 
+    /** Whether a part of an object that is not whole has come a moment ago. */
+    boolean moves() {
+        return within && System.nanoTime() - movedAt < LATENESS_NANOS;
+    }
+
     /** Ends it; nothing more is heard of it. */
     void close() {
         over = true;
@@ -131,20 +136,26 @@
     }
 
     private final class Objects extends SimpleChannelInboundHandler<ByteBuf> {
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, ByteBuf object) throws IOException {
+        private final ListParser parser = new ListParser(entry -> hearer.read(entry), this::said);
+        private final byte[] bytes = new byte[LONGEST_READ];
+
+        private void said(ListParser.Update update) {
             within = false;
-            if (over) {
-                return;
+            if (!over) {
+                hearer.said(ListWatch.this, update);
             }
-            try (InputStream bytes = new ByteBufInputStream(object);
-                 JsonParser parser = JSON.createParser(bytes)) {
-                parser.nextToken();
-                if (Json.value(parser) instanceof Map<?, ?> update) {
-                    hearer.said(ListWatch.this, update);
-                } else {
-                    throw new IOException("not an object");
-                }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf part) throws IOException {
+            long before = parser.read();
+            while (part.isReadable() && !over) {
+                int length = Math.min(bytes.length, part.readableBytes());
+                part.readBytes(bytes, 0, length);
+                parser.feed(bytes, length);
+            }
+            if (parser.read() > before) {
+                withinSince = movedAt = System.nanoTime(); // a long list takes its time, as long as it moves
             }
         }
 
--- a/proxy/src/main/java/dockrelay/proxy/Listing.java
+++ b/proxy/src/main/java/dockrelay/proxy/Listing.java
@@ -2,99 +2,213 @@
 
 import dockrelay.Balancer.Backend;
 import dockrelay.Balancer.Phase;
+import dockrelay.proxy.RequestTable.Member;
+import io.netty.util.collection.LongObjectHashMap;
+import io.netty.util.collection.LongObjectMap;
+import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
-import java.util.stream.Collectors;
+import java.util.function.IntFunction;
+import java.util.function.ToLongFunction;
 
-/** The list as discovery has it, by its names: what the operators say is laid over when it is told. */
+/**
+ * The list as discovery has it, by its names: what the operators say is laid over when it is told. The number
+ * that the module knows a backend by is made of the name alone, as all proxies order the backends by it and
+ * must order them alike. Two names that fall together are told apart by the next free number, in the order in
+ * which they were listed; each keeps its number while it is listed, also when the other one leaves, as its
+ * connections and what was seen of it go by that. A proxy that starts then gives it its own: until it is
+ * listed anew it stands elsewhere in the order there, which moves a window by one backend at the most.
+ */
 final class Listing {
-    private final Map<String, Long> ids = new HashMap<>();
-    private final Map<String, RequestTable.Member> known = new HashMap<>();
+    /** What an entry says where it says all; what a change leaves out stays as it was. */
+    private static final List<String> KEYS = List.of("zone", "kind", "addr", "cell", "weight", "started_ms");
+    /** Zones and kinds are few: words past so many are not shared. */
+    private static final int MOST_WORDS = 1_000;
+
     private final Operators operators;
+    private final ToLongFunction<String> numbers;
+    private final IntFunction<LongObjectMap<Member>> maps;
+    private final Map<String, Long> apart = new HashMap<>(); // those whose own number was another's
+    private final Map<String, String> words = new HashMap<>();
+    private final Set<String> withheld = new HashSet<>(); // ready by the list, but not by the operators
+    private LongObjectMap<Member> known;
+    private int ready; // by the list
 
     Listing(Operators operators) {
+        this(operators, Listing::number, Listing::map);
+    }
+
+    /** With other numbers of names, and with other maps. */
+    Listing(Operators operators, ToLongFunction<String> numbers, IntFunction<LongObjectMap<Member>> maps) {
         this.operators = operators;
+        this.numbers = numbers;
+        this.maps = maps;
+        this.known = maps.apply(0);
+    }
+
+    /** A map for so many: a few places more than that, of a few bytes each. */
+    static <T> LongObjectMap<T> map(int size) {
+        float filled = 0.8f;
+        return new LongObjectHashMap<>((int) (size / filled) + LongObjectHashMap.DEFAULT_CAPACITY, filled);
+    }
+
+    private static long number(String name) {
+        long hash = 0xcbf29ce484222325L; // FNV-1a
+        for (int i = 0; i < name.length(); i++) {
+            hash = (hash ^ name.charAt(i)) * 0x100000001b3L;
+        }
+        return hash;
+    }
+
+    /** The number that a name has, or would have if nobody else had it. */
+    private long id(String name) {
+        Long other = apart.isEmpty() ? null : apart.get(name);
+        return other == null ? numbers.applyAsLong(name) : other;
     }
 
     /** Null where it is not known. */
-    RequestTable.Member get(String name) {
-        return known.get(name);
+    Member get(String name) {
+        Member member = known.get(id(name));
+        return member != null && member.name().equals(name) ? member : null;
+    }
+
+    int size() {
+        return known.size();
     }
 
     /** Whether any is there that may be sent to. */
     boolean anyReady() {
-        return known.entrySet().stream().anyMatch(entry ->
-            operators.overlay(entry.getKey(), entry.getValue()).backend().phase() == Phase.READY);
+        return ready > withheld.size();
+    }
+
+    /** As it is to be told now that the operators have said something of it; null where it is not known. */
+    Member operated(String name) {
+        Member member = get(name);
+        return member == null ? null : overlaid(member);
+    }
+
+    private Member overlaid(Member member) {
+        Member told = operators.overlay(member.name(), member);
+        if (isReady(member) && !isReady(told)) {
+            withheld.add(member.name());
+        } else {
+            withheld.remove(member.name());
+        }
+        return told;
+    }
+
+    private static boolean isReady(Member member) {
+        return member.backend().phase() == Phase.READY;
+    }
+
+    /**
+     * What is kept of an entry as soon as it is read, so that no list is ever there as it was written: a
+     * member where the entry says all, else the entry, which has to be laid over what is known in its turn.
+     */
+    Object read(Map<?, ?> entry) {
+        try {
+            return entry.keySet().containsAll(KEYS) ? member(entry) : entry;
+        } catch (RuntimeException e) {
+            return entry; // it is told of when it is taken
+        }
     }
 
     /** Takes entries in, as they are to be told; a full list drops whom it does not name. */
-    List<RequestTable.Member> take(List<?> entries, boolean full) {
-        List<RequestTable.Member> members = new ArrayList<>();
+    List<Member> take(List<?> entries, boolean full) {
+        LongObjectMap<Member> named = full ? maps.apply(entries.size()) : null;
+        List<Member> told = new ArrayList<>(entries.size());
         for (Object item : entries) {
-            RequestTable.Member member;
-            String name;
+            Member member;
             try {
-                name = Config.text((Map<?, ?>) item, "id");
-                member = member(name, (Map<?, ?>) item);
+                member = numbered(item instanceof Member read ? read : member((Map<?, ?>) item));
             } catch (RuntimeException e) {
                 Log.error("discovery", e); // guards against one bad entry hiding all the others
                 continue;
             }
-            operators.name(name);
-            members.add(operators.overlay(name, member));
-            if (member.backend().phase() == Phase.GONE) {
-                known.remove(name);
-            } else {
-                known.put(name, member);
+            long id = member.backend().id();
+            put(id, member);
+            if (full && known.get(id) == null) {
+                named.remove(id);
+            } else if (full) {
+                named.put(id, member);
             }
+            told.add(overlaid(member));
         }
         if (full) {
-            Set<Long> named = members.stream().map(member -> member.backend().id())
-                .collect(Collectors.toSet());
-            known.values().removeIf(member -> !named.contains(member.backend().id()));
+            for (Member member : known.values()) {
+                if (!named.containsKey(member.backend().id())) {
+                    forget(member);
+                }
+            }
+            known = named;
         }
-        return members;
+        return told;
     }
 
-    /** An entry; what a change leaves out stays as it was. */
-    private RequestTable.Member member(String name, Map<?, ?> entry) {
-        long id = id(name);
-        RequestTable.Member before = known.get(name);
-        Backend old = before == null ? new Backend(id, "", "", 0, Phase.GONE, 1, 0) : before.backend();
-        String zone = entry.get("zone") instanceof String text ? text : old.zone();
-        String kind = entry.get("kind") instanceof String text ? text : old.kind();
+    private void put(long id, Member member) {
+        operators.name(member.name());
+        if (member.backend().phase() == Phase.GONE) {
+            Member before = known.remove(id);
+            forget(before == null ? member : before);
+        } else {
+            Member before = known.put(id, member);
+            ready += (isReady(member) ? 1 : 0) - (before != null && isReady(before) ? 1 : 0);
+        }
+    }
+
+    private void forget(Member member) {
+        ready -= isReady(member) ? 1 : 0;
+        withheld.remove(member.name());
+        apart.remove(member.name());
+        operators.unname(member.name());
+    }
+
+    /** Gives one another number where its own is somebody else's. */
+    private Member numbered(Member member) {
+        Member there = known.get(member.backend().id());
+        if (there == null || there.name().equals(member.name())) {
+            return member;
+        }
+        long number = id(member.name());
+        while (known.get(number) != null && !known.get(number).name().equals(member.name())) {
+            number++;
+        }
+        Backend as = member.backend();
+        if (as.phase() != Phase.GONE) {
+            apart.put(member.name(), number);
+        }
+        return new Member(member.name(), new Backend(number, as.zone(), as.kind(), as.cell(), as.phase(),
+            as.weight(), as.startedAt()), member.address());
+    }
+
+    /** An entry; what a change leaves out stays as it was, and what is as it was is the same object. */
+    private Member member(Map<?, ?> entry) {
+        String name = Config.text(entry, "id");
+        Member before = get(name);
+        Backend old = before == null ? new Backend(id(name), "", "", 0, Phase.GONE, 1, 0) : before.backend();
+        String zone = entry.get("zone") instanceof String text ? shared(text) : old.zone();
+        String kind = entry.get("kind") instanceof String text ? shared(text) : old.kind();
         Phase phase = switch (String.valueOf(entry.get("state"))) {
             case "active" -> Phase.READY;
             case "left" -> Phase.GONE;
             default -> Phase.DRAINING; // an unknown word gets the most caution
         };
-        Backend backend = new Backend(id, zone, kind, (long) Config.number(entry, "cell", old.cell()), phase,
-            Config.number(entry, "weight", old.weight()),
+        Backend backend = new Backend(old.id(), zone, kind, (long) Config.number(entry, "cell", old.cell()),
+            phase, Config.number(entry, "weight", old.weight()),
             (long) (Config.number(entry, "started_ms", old.startedAt() / 1000.0) * 1000));
-        return new RequestTable.Member(backend, entry.get("addr") instanceof String addr
-            ? Config.address(addr) : before == null ? null : before.address());
+        SocketAddress listed = before == null ? null : before.address();
+        SocketAddress address = entry.get("addr") instanceof String text ? Endpoint.of(text) : listed;
+        boolean same = before != null && backend.equals(old) && Objects.equals(address, listed);
+        return same ? before : new Member(before == null ? name : before.name(), backend, address);
     }
 
-    /**
-     * The number the module knows a backend by. It is made of the name alone, as all proxies order the
-     * backends by it and must order them alike; two names that fall together are told apart by the next one.
-     */
-    private long id(String name) {
-        Long number = ids.get(name);
-        if (number == null) {
-            long hash = 0xcbf29ce484222325L; // FNV-1a
-            for (int i = 0; i < name.length(); i++) {
-                hash = (hash ^ name.charAt(i)) * 0x100000001b3L;
-            }
-            number = hash;
-            while (ids.containsValue(number)) {
-                number++;
-            }
-            ids.put(name, number);
-        }
-        return number;
+    private String shared(String word) {
+        return words.size() < MOST_WORDS ? words.computeIfAbsent(word, same -> same)
+            : words.getOrDefault(word, word);
     }
 }
--- a/proxy/src/main/java/dockrelay/proxy/Operators.java
+++ b/proxy/src/main/java/dockrelay/proxy/Operators.java
@@ -13,6 +13,8 @@
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -31,11 +33,13 @@
     /** What an id may look like in a call: its name in a file stays within what file systems take. */
     private static final Pattern ID = Pattern.compile("[\\x21-\\x7e]{1,80}");
     private static final long MICROS_PER_MILLI = 1_000;
+    private static final int MOST_LEFT = 1_000;
 
     private final Path folder;
     private final Map<String, Mark> marks = new ConcurrentHashMap<>();
     private final Set<String> spoilt = new HashSet<>(); // files told of in the log
     private final Set<String> named = ConcurrentHashMap.newKeySet();
+    private final Set<String> left = new LinkedHashSet<>(); // the last ones named no more; the loop's
 
     /** A backend is out, or was put back at this time of the wall clock in microseconds. */
     private record Mark(boolean out, long at) {
@@ -50,6 +54,20 @@
     /** Discovery has named this backend: there are calls for such ones only. */
     void name(String id) {
         named.add(id);
+        left.remove(id);
+    }
+
+    /**
+     * Discovery names it no more. It may be away for a restart only: calls about the last ones that left are
+     * still let pass.
+     */
+    void unname(String id) {
+        left.add(id);
+        if (left.size() > MOST_LEFT) {
+            Iterator<String> eldest = left.iterator();
+            named.remove(eldest.next());
+            eldest.remove();
+        }
     }
 
     /** Whether a call may be about this id: discovery named it, here or in the process before. */
@@ -133,8 +151,8 @@
         Backend listed = member.backend();
         Phase phase = mark.out && listed.phase() == Phase.READY ? Phase.DRAINING : listed.phase();
         long startedAt = mark.out ? listed.startedAt() : Math.max(listed.startedAt(), mark.at);
-        return new RequestTable.Member(new Backend(listed.id(), listed.zone(), listed.kind(), listed.cell(),
-            phase, listed.weight(), startedAt), member.address());
+        return new RequestTable.Member(id, new Backend(listed.id(), listed.zone(), listed.kind(),
+            listed.cell(), phase, listed.weight(), startedAt), member.address());
     }
 
     /** How many backends are out. */
--- a/proxy/src/main/java/dockrelay/proxy/RequestTable.java
+++ b/proxy/src/main/java/dockrelay/proxy/RequestTable.java
@@ -9,7 +9,6 @@
 import dockrelay.Balancer.ListScope;
 import dockrelay.Balancer.LoadReport;
 import dockrelay.Balancer.Outcome;
-import dockrelay.Balancer.Phase;
 import dockrelay.Balancer.Request;
 import dockrelay.Balancer.ServiceClass;
 import dockrelay.proxy.Counters.Count;
@@ -35,7 +34,6 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -92,7 +90,11 @@
     }
 
     /** A backend as discovery has it; the address is null where the entry gives none. */
-    record Member(Backend backend, SocketAddress address) {
+    record Member(String name, Backend backend, SocketAddress address) {
+        /** One that has no name. */
+        Member(Backend backend, SocketAddress address) {
+            this("", backend, address);
+        }
     }
 
     private record Event(Pending about, Runnable body) {
@@ -272,14 +274,13 @@
 
     void members(ListScope scope, List<Member> members) {
         List<Backend> entries = new ArrayList<>(members.size());
-        Set<Long> named = new HashSet<>();
+        if (scope == ListScope.FULL || scope == ListScope.CACHED) {
+            pool.learnAll(members);
+        } else {
+            members.forEach(pool::learn);
+        }
         for (Member member : members) {
-            pool.learn(member.backend.id(), member.address, member.backend.phase() == Phase.READY);
             entries.add(member.backend);
-            named.add(member.backend.id());
-        }
-        if (scope == ListScope.FULL || scope == ListScope.CACHED) {
-            pool.unlist(named);
         }
         enter(null, () -> module.onMembers(clock.getAsLong(), scope, entries));
     }
--- a/proxy/src/test/java/dockrelay/proxy/BackendCrossingTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/BackendCrossingTest.java
@@ -27,9 +27,11 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import org.junit.jupiter.api.AfterEach;
@@ -81,7 +83,7 @@
 
     private void learn(long id, int port, boolean ready) {
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
-        loop.submit(() -> pool.learn(id, address, ready)).syncUninterruptibly();
+        loop.submit(() -> pool.learn(Fakes.member(id, address, ready))).syncUninterruptibly();
     }
 
     private void take(String id, String spec) {
@@ -119,6 +121,37 @@
         }
     }
 
+    /** What is kept of each grows with the list, and so does what each look at all of them costs. */
+    @Test
+    void onlyOfBackendsThatAreSentToMoreIsKeptThanWhereTheyAre() throws Exception {
+        parts(0, (event, arguments) -> {
+            if ("onRequest".equals(event)) {
+                table.send(((Request) arguments[1]).id(), 1, 0);
+            }
+        });
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), backend.port());
+        List<RequestTable.Member> all = new ArrayList<>();
+        for (int id = 1; id <= 2_000; id++) {
+            all.add(Fakes.member(id, address, true));
+        }
+        loop.submit(() -> pool.learnAll(all)).syncUninterruptibly();
+        assertEquals(0, pool.used());
+        take("r1", "save");
+        Fakes.await("its answer", () -> outcomes.size() == 1);
+        assertEquals(1, loop.submit(pool::used).get());
+        loop.submit(() -> pool.learnAll(all.subList(1, 2_000))).syncUninterruptibly();
+        Fakes.await("its connection is closed", () -> backend.open.isEmpty());
+        Fakes.await("it is forgotten", () -> used() == 0);
+    }
+
+    private int used() {
+        try {
+            return loop.submit(pool::used).get();
+        } catch (InterruptedException | ExecutionException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** The window for repeats is over by the time at which the connection for the repeat is up. */
     @Test
     void aRepeatThatComesUpAfterTheWindowIsNotSent() throws Exception {
--- a/proxy/src/test/java/dockrelay/proxy/Fakes.java
+++ b/proxy/src/test/java/dockrelay/proxy/Fakes.java
@@ -1,10 +1,13 @@
 package dockrelay.proxy;
 
+import dockrelay.Balancer.Backend;
+import dockrelay.Balancer.Phase;
 import io.netty.channel.EventLoop;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -296,6 +299,12 @@
         }
     }
 
+    /** A backend as a list has it. */
+    static RequestTable.Member member(long id, InetSocketAddress address, boolean ready) {
+        return new RequestTable.Member(new Backend(id, "a", "k", 0, ready ? Phase.READY : Phase.DRAINING, 1,
+            0), address);
+    }
+
     static class DiscoveryFake extends Listener {
         final List<String> asked = new CopyOnWriteArrayList<>();
         volatile boolean refuse;
--- /dev/null
+++ b/proxy/src/test/java/dockrelay/proxy/ListParserTest.java
@@ -0,0 +1,88 @@
+package dockrelay.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import dockrelay.settings.Json;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Objects of discovery's, taken apart as their bytes come. */
+class ListParserTest {
+    private final List<ListParser.Update> updates = new ArrayList<>();
+    private final List<Map<?, ?>> read = new ArrayList<>();
+    private final ListParser parser = new ListParser(entry -> {
+        read.add(entry);
+        return entry;
+    }, updates::add);
+
+    private void feed(String text, int each) throws IOException {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        for (int i = 0; i < bytes.length; i += each) {
+            byte[] part = java.util.Arrays.copyOfRange(bytes, i, Math.min(bytes.length, i + each));
+            parser.feed(part, part.length);
+        }
+    }
+
+    /** What the reader of whole texts makes of the same. */
+    private static ListParser.Update whole(String text) throws IOException {
+        try (JsonParser json = new JsonFactory().createParser(text)) {
+            json.nextToken();
+            Map<?, ?> map = (Map<?, ?>) Json.value(json);
+            return new ListParser.Update((long) Config.number(map, "version", -1),
+                Boolean.TRUE.equals(map.get("full")), new ArrayList<>(Config.list(map, "servers")));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 7, 1_000})
+    void whereverItIsCutItSaysTheSame(int each) throws IOException {
+        String[] texts = {
+            "{\"version\":43,\"full\":false,\"servers\":[{\"id\":\"s-\\u00e4\",\"weight\":1.5e0,\"cell\":-3,"
+                + "\"tags\":[1,[true,null,{}],{\"a\":{\"b\":[]}}],\"zone\":\"\u00e4 \\\"]}{[\"},{}]}",
+            "{\n \"servers\" :\t[ { \"id\" : \"x\" } , 7, \"text\", [1], null ]\n, \"other\":"
+                + " {\"servers\": [1]}, \"full\" : true , \"version\": 44 }",
+            "{}", "{\"version\":1,\"servers\":{\"id\":\"no list\"}}", "{\"servers\":[1],\"servers\":[2,{}]}",
+            "{\"version\":2.0,\"full\":\"true\"}"};
+        feed("\n \n" + String.join("\n\n", texts), each);
+        List<ListParser.Update> expected = new ArrayList<>();
+        for (String text : texts) {
+            expected.add(whole(text));
+        }
+        assertEquals(expected, updates);
+        assertEquals(4, read.size(), "objects among the entries");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"[]", "7", "\"text\"", "{\"a\":}", "{\"servers\":[}", "{\"a\" 1}", "nonsense",
+        "}"})
+    void whatIsNoObjectIsRefused(String text) {
+        assertThrows(IOException.class, () -> feed(text + " ", 1));
+    }
+
+    @Test
+    void anEntryWithoutEndIsRefusedAndALongListIsNot() throws IOException {
+        feed("{\"servers\":[", 100);
+        String entry = "{\"id\":\"" + "s".repeat(990) + "\"}";
+        for (int i = 0; i < 6_000; i++) {
+            feed((i > 0 ? "," : "") + entry, 10_000);
+        }
+        assertEquals(6_000, read.size());
+        assertTrue(parser.read() >= 6_000, "it moves");
+        feed(",{\"id\":\"", 100);
+        assertThrows(IOException.class, () -> {
+            for (int i = 0; i < 2_000; i++) {
+                feed("s".repeat(1_000), 10_000);
+            }
+        });
+    }
+}
--- a/proxy/src/test/java/dockrelay/proxy/ListWatchTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/ListWatchTest.java
@@ -138,6 +138,27 @@
         }
     }
 
+    /** A list is longer than what is read of it at a time, and than any one object may be in memory. */
+    @Test
+    void aLongListIsTakenInWhole() throws Exception {
+        String[] entries = new String[40_000];
+        for (int i = 0; i < entries.length; i++) {
+            entries[i] = Fakes.entry("gone-" + i, 1, "leaving");
+        }
+        entries[entries.length / 2] = Fakes.entry("s-1", one.port(), "active");
+        String list = DiscoveryFake.list(7, true, entries);
+        assertTrue(list.length() > 4 << 20, list.length() + " bytes");
+        for (String mode : new String[] {"", ASKED}) {
+            try (Odd discovery = new Odd(Fault.SILENT, list, "")) {
+                proxy = new Proxy(Fakes.config(0, discovery.port(), 1024, "", mode));
+                awaitServedBy("one");
+                assertEquals(1, discovery.asked.size(), "no other watch beside the one that moves");
+                proxy.stop();
+                proxy = null;
+            }
+        }
+    }
+
     @Test
     void anOlderVersionDoesNotTakeTheNewerOnesPlace() throws Exception {
         try (Odd discovery = new Odd(Fault.ENDS_IN_THE_MIDDLE, list(7, one), list(6, two))) {
--- /dev/null
+++ b/proxy/src/test/java/dockrelay/proxy/ListingTest.java
@@ -0,0 +1,287 @@
+package dockrelay.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.sun.management.ThreadMXBean;
+import dockrelay.Balancer.Phase;
+import dockrelay.proxy.RequestTable.Member;
+import io.netty.util.collection.LongObjectHashMap;
+import io.netty.util.collection.LongObjectMap;
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+/** Names and numbers of the backends, and what a list costs: counted, never timed. */
+class ListingTest {
+    private static final int[] SIZES = {500, 1_000, 2_000};
+
+    private final Operators operators = new Operators(null);
+    private final Listing listing = new Listing(operators);
+
+    private static Map<String, Object> entry(String name, String state) {
+        Map<String, Object> entry = new HashMap<>();
+        entry.put("id", name);
+        entry.put("state", state);
+        entry.put("addr", "10.0.0.1:80");
+        entry.put("zone", new String("z1")); // as a parser makes it: another object for each
+        entry.put("kind", new String("k1"));
+        entry.put("cell", 3L);
+        entry.put("weight", 1.0);
+        entry.put("started_ms", 0L);
+        return entry;
+    }
+
+    private static List<Map<String, Object>> entries(int count) {
+        List<Map<String, Object>> entries = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            entries.add(entry("s-" + i, "active"));
+        }
+        return entries;
+    }
+
+    private long id(Listing of, String name, String state) {
+        return of.take(List.of(entry(name, state)), false).get(0).backend().id();
+    }
+
+    @Test
+    void aNameThatComesBackGetsTheSameNumber() {
+        long first = id(listing, "s-1", "active");
+        assertEquals(first, id(listing, "s-1", "left"));
+        assertEquals(0, listing.size());
+        assertNull(listing.get("s-1"), "it is forgotten with the backend");
+        assertEquals(first, id(listing, "s-1", "active"));
+        assertEquals(first, id(new Listing(operators), "s-1", "active"), "at all proxies");
+        assertNotEquals(first, id(listing, "s-2", "active"));
+    }
+
+    /** All names have the same number here. */
+    @Test
+    void namesThatFallTogetherAreToldApartAndKeepTheirNumbers() {
+        Listing narrow = new Listing(operators, name -> 7, Listing::map);
+        List<Member> told = narrow.take(entries(3), true);
+        assertEquals(List.of(7L, 8L, 9L), told.stream().map(member -> member.backend().id()).toList());
+        assertEquals(List.of(7L, 8L, 9L), narrow.take(entries(3), true).stream()
+            .map(member -> member.backend().id()).toList(), "said again");
+        id(narrow, "s-0", "left");
+        assertEquals(8, id(narrow, "s-1", "active"), "the second keeps its own when the first has left");
+        assertEquals(8, narrow.get("s-1").backend().id());
+        assertEquals(7, id(narrow, "s-0", "active"), "and the first gets its own back");
+        id(narrow, "s-1", "left");
+        assertNull(narrow.get("s-1"));
+        assertEquals("s-2", narrow.get("s-2").name());
+        assertEquals(8, id(narrow, "s-1", "active"));
+        narrow.take(entries(1), true);
+        assertEquals(1, narrow.size());
+        assertNull(narrow.get("s-2"), "a full list drops whom it does not name");
+    }
+
+    @Test
+    void whatChangesLeaveOutStaysAndWhatStaysIsTheSameObject() {
+        Object read = listing.read(entry("s-1", "active"));
+        Member first = listing.take(List.of(read), true).get(0);
+        assertSame(read, first);
+        assertSame(first, listing.read(entry("s-1", "active")));
+        Map<String, Object> drained = Map.of("id", "s-1", "state", "leaving");
+        assertSame(drained, listing.read(drained), "it has to wait for its turn");
+        Member then = listing.take(List.of(listing.read(drained)), false).get(0);
+        assertEquals(Phase.DRAINING, then.backend().phase());
+        assertEquals(first.address(), then.address());
+        assertEquals(3, then.backend().cell());
+        assertSame(first.backend().zone(), ((Member) listing.read(entry("s-9", "active"))).backend().zone());
+    }
+
+    @Test
+    void oneBadEntryHidesNoneOfTheOthers() {
+        Map<String, Object> bad = entry("s-2", "active");
+        bad.put("addr", "nowhere");
+        List<Object> read = new ArrayList<>();
+        for (Map<String, Object> each : List.of(entry("s-1", "active"), bad, entry("s-3", "active"))) {
+            read.add(listing.read(each));
+        }
+        read.add("no entry");
+        assertEquals(List.of("s-1", "s-3"), listing.take(read, true).stream().map(Member::name).toList());
+    }
+
+    /** The same name twice in a list: the later one holds, laid over the earlier one. */
+    @Test
+    void theLaterEntryOfANameHolds() {
+        listing.take(List.of(entry("s-1", "active"), Map.of("id", "s-1", "state", "leaving")), true);
+        assertEquals(Phase.DRAINING, listing.get("s-1").backend().phase());
+        listing.take(List.of(entry("s-1", "active"), Map.of("id", "s-1", "state", "left")), true);
+        assertEquals(0, listing.size());
+        assertFalse(listing.anyReady());
+    }
+
+    @Test
+    void whetherAnyIsReadyGoesByTheListAndTheOperators() throws Exception {
+        assertFalse(listing.anyReady());
+        listing.take(List.of(entry("s-1", "active"), entry("s-2", "leaving")), true);
+        assertTrue(listing.anyReady());
+        operators.detach("s-1");
+        listing.operated("s-1");
+        assertFalse(listing.anyReady(), "the one that is ready is out");
+        listing.take(List.of(entry("s-1", "active")), false);
+        assertFalse(listing.anyReady(), "whatever the list says");
+        listing.take(List.of(entry("s-1", "left")), false);
+        listing.take(List.of(entry("s-2", "active")), false);
+        assertTrue(listing.anyReady());
+        listing.take(List.of(entry("s-1", "active"), entry("s-2", "left")), false);
+        assertFalse(listing.anyReady(), "it stays out over its coming back");
+        operators.attach("s-1");
+        listing.operated("s-1");
+        assertTrue(listing.anyReady());
+        listing.take(List.of(), true);
+        assertFalse(listing.anyReady());
+        operators.detach("s-1");
+        assertNull(listing.operated("s-1"), "not listed");
+        assertFalse(listing.anyReady());
+    }
+
+    @Test
+    void callsAreLetPassForThoseThatAreListedAndTheLastOnesThatLeft() {
+        listing.take(entries(2_000), true);
+        listing.take(List.of(), true);
+        long left = entries(2_000).stream().filter(entry -> operators.knows((String) entry.get("id")))
+            .count();
+        assertEquals(1_000, left, "names of those that left are forgotten in the end");
+        listing.take(entries(1), false);
+        listing.take(entries(3_000).subList(1_000, 3_000), false);
+        listing.take(entries(3_000).subList(1_000, 3_000).stream().peek(entry -> entry.put("state", "left"))
+            .toList(), false);
+        assertTrue(operators.knows("s-0"), "it is back, whoever leaves");
+        assertFalse(operators.knows("s-1500"));
+    }
+
+    /** A map that counts what it is asked, and each walk over all as all. */
+    private static final class Counted extends LongObjectHashMap<Member> {
+        private final long[] steps;
+
+        Counted(int size, long[] steps) {
+            super(Math.max(8, size * 2));
+            this.steps = steps;
+        }
+
+        @Override
+        public Member get(long key) {
+            steps[0]++;
+            return super.get(key);
+        }
+
+        @Override
+        public Member put(long key, Member value) {
+            steps[0]++;
+            return super.put(key, value);
+        }
+
+        @Override
+        public Member remove(long key) {
+            steps[0]++;
+            return super.remove(key);
+        }
+
+        @Override
+        public boolean containsKey(long key) {
+            steps[0]++;
+            return super.containsKey(key);
+        }
+
+        @Override
+        public boolean containsValue(Object value) {
+            steps[0] += size();
+            return super.containsValue(value);
+        }
+
+        @Override
+        public Collection<Member> values() {
+            steps[0] += size();
+            return super.values();
+        }
+
+        @Override
+        public Iterable<LongObjectMap.PrimitiveEntry<Member>> entries() {
+            steps[0] += size();
+            return super.entries();
+        }
+    }
+
+    /** Steps and bytes that something costs at each size, of a listing that has as many. */
+    private static long[][] costs(boolean listed, Consumer<Listing> what) {
+        long[][] costs = new long[2][SIZES.length];
+        for (int i = 0; i < SIZES.length; i++) {
+            long[] steps = new long[1];
+            Listing each = new Listing(new Operators(null), name -> {
+                steps[0]++;
+                return name.hashCode() * 0x9E3779B97F4A7C15L;
+            }, size -> new Counted(size, steps));
+            if (listed) {
+                each.take(entries(SIZES[i]), true);
+                what.accept(each); // tables that grow by the way are not the change's
+            }
+            long before = steps[0];
+            long bytes = allocated();
+            what.accept(each);
+            costs[0][i] = steps[0] - before;
+            costs[1][i] = allocated() - bytes;
+        }
+        return costs;
+    }
+
+    private static long allocated() {
+        return ((ThreadMXBean) ManagementFactory.getThreadMXBean()).getThreadAllocatedBytes(
+            Thread.currentThread().getId());
+    }
+
+    private static void assertGrows(long[] counts, double most) {
+        assertTrue(counts[2] <= counts[0] * most, counts[0] + ", " + counts[1] + ", " + counts[2]);
+    }
+
+    @Test
+    void aListTakenInWholeCostsItsLength() {
+        List<Map<String, Object>> all = entries(SIZES[2]);
+        for (boolean listed : new boolean[] {false, true}) {
+            Consumer<Listing> whole = each ->
+                each.take(all.subList(0, Math.max(SIZES[0], each.size())), true);
+            costs(listed, whole); // what is loaded on the way is not the list's
+            for (long[] counts : costs(true, whole)) {
+                assertGrows(counts, 4.4);
+            }
+        }
+        long[] steps = new long[SIZES.length];
+        for (int i = 0; i < SIZES.length; i++) {
+            long[] counted = new long[1];
+            Listing fresh = new Listing(new Operators(null), String::hashCode, size -> new Counted(size,
+                counted));
+            fresh.take(all.subList(0, SIZES[i]), true);
+            steps[i] = counted[0];
+        }
+        assertGrows(steps, 4.1);
+    }
+
+    @Test
+    void aChangeCostsNothingOfTheRest() {
+        Consumer<Listing> changes = each -> {
+            for (int i = 0; i < 100; i++) {
+                each.take(List.of(entry("s-" + i, "leaving")), false);
+                each.take(List.of(entry("s-" + i, "left")), false);
+                each.take(List.of(entry("s-" + i, "active")), false);
+                each.take(List.of(entry("new-" + i, "active")), false);
+                each.take(List.of(entry("new-" + i, "left")), false);
+                each.anyReady();
+            }
+        };
+        costs(true, changes);
+        for (long[] counts : costs(true, changes)) {
+            assertGrows(counts, 1.2);
+        }
+    }
+}
--- a/proxy/src/test/java/dockrelay/proxy/RequestTableTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/RequestTableTest.java
@@ -171,8 +171,9 @@
                 }
             };
             group.submit(() -> {
-                pool.learn(1, new InetSocketAddress(InetAddress.getLoopbackAddress(), winner.port()), true);
-                pool.learn(2, new InetSocketAddress(InetAddress.getLoopbackAddress(), loser.port()), true);
+                InetAddress here = InetAddress.getLoopbackAddress();
+                pool.learn(Fakes.member(1, new InetSocketAddress(here, winner.port()), true));
+                pool.learn(Fakes.member(2, new InetSocketAddress(here, loser.port()), true));
                 table.take(new Request("r", "look", null, null, 5_000_000, 0, false),
                     new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/look/x"), reply);
             }).syncUninterruptibly();
