Call a lab play void where the machine starved it, and play it again within a bound

Cause: the referee judged a proxy that had no core as if it were late. The lab knew of its own lateness at p99.9 alone, and tests did not even ask for that.

Change: each 50 ms the lab reads what the scheduler counts of every thread of every proxy (ran, waited) and of the cores (busy, stolen). A stretch of 100 ms in which a proxy's wait by others' doing and the lab's lateness pass the 50 ms by which the referee lets answers be late makes the play void, whatever was broken. A stop, a proxy's own threads and what it takes beyond its cores are no excuse. The limits of an upgrade's start (6 s) and of an end count without such a wait, up to three times as long, and the play is void then.

--- a/lab/src/main/java/dockrelay/lab/LabRun.java
+++ b/lab/src/main/java/dockrelay/lab/LabRun.java
@@ -11,11 +11,16 @@
 import dockrelay.lab.report.Sample;
 import dockrelay.lab.report.Score;
 import dockrelay.lab.spec.Experiment;
+import dockrelay.lab.starvation.Lateness;
+import dockrelay.lab.starvation.Limit;
+import dockrelay.lab.starvation.Starvation;
+import dockrelay.lab.starvation.TaskCounts;
 import dockrelay.lab.world.Clients;
 import dockrelay.lab.world.Clock;
 import dockrelay.lab.world.Front;
 import dockrelay.lab.world.Net;
 import dockrelay.lab.world.World;
+import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -25,7 +30,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
-import org.HdrHistogram.Histogram;
 
 /**
  * One play of an experiment: starts the world and the proxies, lets clients come and things break, and
@@ -35,11 +39,6 @@
     private static final long SAMPLE_MILLIS = 250, BEAT = 5_000, SECOND = 1_000_000;
     /** Clients come a little after the last proxy is let in. */
     private static final long LEAD = 200_000;
-    /**
-     * A run in which more than one in a thousand of its own acts was later than this says nothing of
-     * latencies.
-     */
-    private static final long MOST_LATE = 20_000;
 
     /** The program could not be played at all. */
     static final class FailedStart extends Exception {
@@ -55,16 +54,17 @@
     private final Path out;
     private final Consumer<String> progress;
     private final Clock clock = new Clock();
-    private final Histogram loopLateness = new Histogram(3);
+    private final Starvation starvation;
 
     LabRun(Plan plan, Build build, Path out, Consumer<String> progress) {
         this.plan = plan;
         this.build = build;
         this.out = out;
         this.progress = progress;
+        starvation = new Starvation(Referee.SOCKETS, plan.experiment().proxies().cores());
     }
 
-    Result play() throws IOException, FailedStart, InterruptedException {
+    Result play() throws IOException, FailedStart, VoidPlayException, InterruptedException {
         Files.createDirectories(out);
         empty(out.resolve("proxies"));
         Leftovers leftovers = new Leftovers(Leftovers.usual());
@@ -78,16 +78,19 @@
         World world = new World(plan, net, clock, referee);
         List<Sample> samples = new ArrayList<>();
         Score score = new Score(plan);
+        Lateness generator = new Lateness();
         try (Proxies proxies = new Proxies(plan, build, out.resolve("proxies"), clock, referee, world,
-            net, leftovers)) {
+            net, leftovers, starvation, generator)) {
             Thread killer = new Thread(proxies::close, "killer");
             Runtime.getRuntime().addShutdownHook(killer);
             proxies.start();
-            Front front = new Front(proxies.addresses(), experiment.clients(), plan.seed(), net, clock);
+            Front front = new Front(proxies.addresses(), experiment.clients(), plan.seed(), net, clock,
+                proxies::well);
             front.start();
             awaitStart(experiment, proxies, front);
-            Clients clients = new Clients(plan, net, clock, referee, front, score);
-            beat(net, clock.now() + BEAT);
+            Clients clients = new Clients(plan, net, clock, referee, front, score, generator);
+            beat(net, net.world(), proxies.watch().world, clock.now() + BEAT);
+            beat(net, net.clients(), proxies.watch().clients, clock.now() + BEAT);
             long zero = clock.now() + LEAD;
             for (Break fault : plan.breaks()) {
                 if (fault.kind().ofProxies()) {
@@ -101,15 +104,17 @@
                 members.start();
             }
             clients.start(zero);
+            starvation.judging(true);
             watch(experiment, zero, clients, world, score, samples);
+            starvation.judging(false);
             front.close();
             members.close();
             proxies.stop();
-            Histogram lateness = clients.lateness();
-            Histogram loop = net.world().submit(loopLateness::copy).syncUninterruptibly().getNow();
             Result result = new Result(plan, build.root().getFileName().toString(), score, referee,
                 proxies.figures(),
-                samples, new Result.Own(lateness, loop, voidBecause(lateness, loop), left), world.fell(),
+                samples, new Result.Own(generator.all(), proxies.watch().world.all(), starvation.rulesVoid(),
+                    starvation.latenciesVoid(),
+                    starvation.figures(TaskCounts.counted()), left), world.fell(),
                 world.linesSent(), proxies.peerTraffic(), members.values(out.resolve("proxies"), zero));
             Runtime.getRuntime().removeShutdownHook(killer);
             return result;
@@ -119,8 +124,9 @@
     }
 
     private void awaitStart(Experiment experiment, Proxies proxies, Front front)
-        throws FailedStart, InterruptedException {
-        long by = clock.now() + experiment.proxies().startWithin();
+        throws FailedStart, VoidPlayException, InterruptedException {
+        Limit limit = new Limit(experiment.proxies().startWithin());
+        long since = clock.now();
         int wanted = experiment.proxies().count();
         while (true) {
             int ready = front.admitted();
@@ -133,7 +139,14 @@
             if (ready == wanted) {
                 return;
             }
-            if (clock.now() > by) {
+            long took = clock.now() - since, waited = took > limit.length() ? proxies.startsWaited() : 0;
+            Limit.Verdict verdict = limit.of(took, waited);
+            if (verdict == Limit.Verdict.STARVED && limit.over(took)) {
+                throw new VoidPlayException(String.format(Locale.ROOT, "%d of %d proxies were not ready "
+                    + "within %.1f s, of which one waited %.1f s for a core", wanted - ready, wanted,
+                    took / 1e6, waited / 1e6));
+            }
+            if (verdict == Limit.Verdict.PASSED) {
                 throw new FailedStart((wanted - ready) + " of " + wanted + " proxies were not ready within "
                     + experiment.proxies().startWithin() / SECOND + " s; their logs are in "
                     + out.resolve("proxies"));
@@ -142,12 +155,12 @@
         }
     }
 
-    /** How late the world's loop runs is how late nodes and discovery act. */
-    private void beat(Net net, long due) {
-        net.later(net.world(), due - clock.now(), () -> {
+    /** How late the world's loop runs is how late nodes and discovery act, and the clients' loop clients. */
+    private void beat(Net net, EventLoop loop, Lateness lateness, long due) {
+        net.later(loop, due - clock.now(), () -> {
             long now = clock.now();
-            loopLateness.recordValue(Math.max(0, now - due));
-            beat(net, Math.max(due, now - BEAT) + BEAT);
+            lateness.record(now - due);
+            beat(net, loop, lateness, Math.max(due, now - BEAT) + BEAT);
         });
     }
 
@@ -178,14 +191,6 @@
         }
     }
 
-    private static String voidBecause(Histogram generator, Histogram loop) {
-        if (generator.getValueAtPercentile(99.9) > MOST_LATE) {
-            return "the generator was late: " + generator.getValueAtPercentile(99.9) / 1000 + " ms at p99.9";
-        }
-        return loop.getValueAtPercentile(99.9) > MOST_LATE
-            ? "the world's loop was late: " + loop.getValueAtPercentile(99.9) / 1000 + " ms at p99.9" : null;
-    }
-
     private static void empty(Path folder) throws IOException {
         if (Files.exists(folder)) {
             try (Stream<Path> files = Files.walk(folder)) {
--- a/lab/src/main/java/dockrelay/lab/Main.java
+++ b/lab/src/main/java/dockrelay/lab/Main.java
@@ -41,7 +41,8 @@
                 command.getErr().println(e.getMessage());
                 return 2;
             }
-            if (e instanceof LabRun.FailedStart || e instanceof IOException) {
+            if (e instanceof LabRun.FailedStart || e instanceof NeverValidException
+                || e instanceof IOException) {
                 command.getErr().println(e instanceof IOException ? e.toString() : e.getMessage());
                 return 1;
             }
@@ -50,7 +51,7 @@
         return line;
     }
 
-    /** Plays one experiment once. */
+    /** Plays one experiment until a play is valid, within a bound. */
     @Command(name = "run", mixinStandardHelpOptions = true, description =
         "Plays an experiment and writes a report.")
     static final class Run implements Callable<Integer> {
@@ -68,18 +69,41 @@
         @Option(names = "--set", paramLabel = "KEY=VALUE", description =
             "laid over the file, such as clients.load=0.8")
         List<String> settings = new ArrayList<>();
+        @Option(names = "--plays", defaultValue = "" + Plays.MOST, description =
+            "a void play is played again, up to so many plays in all (${DEFAULT-VALUE})")
+        int most;
 
         @Override
         public Integer call() throws Exception {
+            if (most < 1) {
+                throw new SpecException("--plays = " + most + "; allowed are 1 and more");
+            }
             Plan plan = Plan.of(ExperimentReader.read(file, settings), seed);
             Build build = Build.of(root);
             Progress progress = new Progress();
-            Result result = new LabRun(plan, build, out, progress::say).play();
+            Plays<Result> plays = new Plays<>(most, Result::voidBecause, text -> {
+                progress.end();
+                System.out.println(text);
+            });
+            NeverValidException never = null;
+            try {
+                plays.play(() -> new LabRun(plan, build, out, progress::say).play());
+            } catch (NeverValidException e) {
+                never = e;
+            }
             progress.end();
-            System.out.print(result.summary()); // first: a full disk must not lose it
-            result.write(out);
-            System.out.println("report: " + out.resolve("report.html"));
-            return result.kept() && !result.isVoid() ? 0 : 1;
+            Result result = plays.last();
+            if (result != null) {
+                System.out.print(result.summary()); // first: a full disk must not lose it
+                result.afterVoid(never == null ? plays.reasons()
+                    : plays.reasons().subList(0, plays.reasons().size() - 1));
+                result.write(out);
+                System.out.println("report: " + out.resolve("report.html"));
+            }
+            if (never != null) {
+                throw never;
+            }
+            return result.kept() ? 0 : 1;
         }
     }
 
@@ -155,7 +179,7 @@
     private static int finish(Series series, TablePage page, Path out, String file) {
         System.out.print(page.plain());
         if (series.leftOut() > 0) {
-            System.out.println(series.leftOut() + " plays were left out, as the lab was late each time");
+            System.out.println(series.leftOut() + " plays were left out, as each try was void");
         }
         System.out.println("report: " + out.resolve(file));
         return series.kept() && series.leftOut() == 0 ? 0 : 1;
--- a/lab/src/main/java/dockrelay/lab/Series.java
+++ b/lab/src/main/java/dockrelay/lab/Series.java
@@ -20,8 +20,6 @@
 
 /** Many plays: two sides in turn on the same seeds, or one key over some values. */
 final class Series {
-    /** A play in which the lab itself was late is played again, so often at most. */
-    private static final int AGAIN = 2;
     private static final ObjectMapper JSON = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
 
     /** What is played: a file, what is laid over it, and a build. */
@@ -47,23 +45,27 @@
         return leftOut;
     }
 
-    /** One play, or null where the lab was late each time. */
+    /** One valid play, or null where each was void. */
     private Result play(Side side, long seed) throws Exception {
-        for (int i = 0; i <= AGAIN; i++) {
-            Plan plan = Plan.of(ExperimentReader.read(side.file, side.settings), seed);
-            String place = side.name.replaceAll("[^A-Za-z0-9._=-]", "_") + "-" + seed;
-            Result result = new LabRun(plan, side.build, out.resolve(place),
-                text -> progress.say(side.name + ", seed " + seed + ": " + text)).play();
-            if (!result.isVoid()) {
-                progress.end();
-                System.out.print(side.name + ": " + result.summary());
-                result.write(out.resolve(place));
-                kept &= result.kept();
-                return result;
-            }
+        Path place = out.resolve(side.name.replaceAll("[^A-Za-z0-9._=-]", "_") + "-" + seed);
+        Plays<Result> plays = new Plays<>(Plays.MOST, Result::voidBecause, text -> {
+            progress.end();
+            System.out.println(side.name + ", seed " + seed + ": " + text);
+        });
+        try {
+            Result result = plays.play(() -> new LabRun(
+                Plan.of(ExperimentReader.read(side.file, side.settings), seed), side.build, place,
+                text -> progress.say(side.name + ", seed " + seed + ": " + text)).play());
+            progress.end();
+            System.out.print(side.name + ": " + result.summary());
+            result.afterVoid(plays.reasons());
+            result.write(place);
+            kept &= result.kept();
+            return result;
+        } catch (NeverValidException e) {
+            leftOut++;
+            return null;
         }
-        leftOut++;
-        return null;
     }
 
     /** The second side against the first, seed by seed; the order changes with each seed. */
--- a/lab/src/main/java/dockrelay/lab/process/Proxies.java
+++ b/lab/src/main/java/dockrelay/lab/process/Proxies.java
@@ -7,6 +7,11 @@
 import dockrelay.lab.referee.Rule;
 import dockrelay.lab.spec.Experiment;
 import dockrelay.lab.spec.Experiment.Folder;
+import dockrelay.lab.starvation.Lateness;
+import dockrelay.lab.starvation.Limit;
+import dockrelay.lab.starvation.Limit.Verdict;
+import dockrelay.lab.starvation.Starvation;
+import dockrelay.lab.starvation.StarvationWatch;
 import dockrelay.lab.world.Addresses;
 import dockrelay.lab.world.Clock;
 import dockrelay.lab.world.Net;
@@ -17,6 +22,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -29,7 +35,7 @@
     private static final int OWN_PROCESSORS = 3;
     private static final long LOOK_MILLIS = 250, ASK_MILLIS = 50;
     /** The next process of an upgrade has to say yes within this. */
-    private static final long YES_WITHIN = 6_000_000;
+    private static final Limit YES_WITHIN = new Limit(6_000_000);
     /** SIGKILL follows SIGTERM after the longest deadline, of this at most, and 0.7 s. */
     private static final long LONGEST_DEADLINE = 3_000_000, GRACE = 700_000;
 
@@ -44,6 +50,8 @@
     private final Leftovers leftovers;
     private final List<ProxyProcess> all = new ArrayList<>();
     private final PeerNetwork peers;
+    private final Starvation starvation;
+    private final StarvationWatch watch;
     private final long[] peakKib;
     private final int[] peakDescriptors;
     private final boolean[] reported;
@@ -53,12 +61,14 @@
         new DefaultThreadFactory("operators", true));
 
     public Proxies(Plan plan, Build build, Path folder, Clock clock, Referee referee, World world,
-                   Net net, Leftovers leftovers) throws IOException {
+                   Net net, Leftovers leftovers, Starvation starvation, Lateness generator)
+        throws IOException {
         this.plan = plan;
         this.clock = clock;
         this.referee = referee;
         this.world = world;
         this.leftovers = leftovers;
+        this.starvation = starvation;
         int count = plan.experiment().proxies().count();
         for (int i = 0; i < count; i++) {
             all.add(new ProxyProcess(i, build, folder, Addresses.proxy(i),
@@ -67,6 +77,8 @@
         }
         peers = plan.experiment().permissions().peers() ? new PeerNetwork(count, plan.seed(), net, clock)
             : null;
+        watch = new StarvationWatch(starvation, clock, count, generator,
+            () -> all.stream().flatMap(proxy -> proxy.watched().stream()).toList());
         peakKib = new long[count];
         peakDescriptors = new int[count];
         reported = new boolean[count];
@@ -89,6 +101,7 @@
 
     public void start() throws IOException {
         Native.load();
+        watch.start();
         for (ProxyProcess proxy : all) {
             start(proxy, false);
         }
@@ -146,21 +159,46 @@
     /** Starts the next process beside the one there is; at its yes the old one is told to end. */
     private void upgrade(ProxyProcess proxy) throws IOException {
         start(proxy, true);
-        awaitYes(proxy, clock.now() + YES_WITHIN);
+        awaitYes(proxy, clock.now());
     }
 
-    private void awaitYes(ProxyProcess proxy, long by) {
-        if (ConsoleCall.yes(proxy.console(), "PING")) {
+    private void awaitYes(ProxyProcess proxy, long since) {
+        long took = clock.now() - since; // when it is asked: the answer may be late by itself
+        boolean yes = ConsoleCall.yes(proxy.console(), "PING");
+        long waited = watch.waited(proxy.process());
+        Verdict verdict = YES_WITHIN.of(took, waited);
+        if (verdict == Verdict.PASSED) {
+            referee.process(Rule.CRASH, proxy.index(), clock.now(), String.format(Locale.ROOT,
+                "the next process did not say yes within %.1f s; it waited %.1f s for a core",
+                YES_WITHIN.length() / 1e6, waited / 1e6));
+        } else if (verdict == Verdict.STARVED && (yes || YES_WITHIN.over(took))) {
+            starvation.passed("the start of the next process of " + proxy.name(), took, waited);
+        }
+        if (yes) {
+            proxy.serves(false);
             proxy.signalBefore("TERM");
             thread.schedule(() -> proxy.signalBefore("KILL"), longest() + GRACE, TimeUnit.MICROSECONDS);
-        } else if (clock.now() > by) {
-            referee.process(Rule.CRASH, proxy.index(), clock.now(), "the next process did not say yes within "
-                + YES_WITHIN / 1_000_000 + " s");
-        } else {
-            thread.schedule(() -> awaitYes(proxy, by), ASK_MILLIS, TimeUnit.MILLISECONDS);
+        } else if (verdict != Verdict.PASSED && !YES_WITHIN.over(took)) {
+            thread.schedule(() -> awaitYes(proxy, since), ASK_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
+    /** A proxy has said at the clients' address that it can serve. */
+    public void well(int proxy) {
+        all.get(proxy).serves(true);
+    }
+
+    /** The longest that one of those that do not serve yet has waited for a core. */
+    public long startsWaited() {
+        return all.stream().flatMap(proxy -> proxy.watched().stream()).filter(one -> !one.serves())
+            .mapToLong(one -> watch.waited(one.process())).max().orElse(0);
+    }
+
+    /** How late the lab was, to be told and asked. */
+    public StarvationWatch watch() {
+        return watch;
+    }
+
     /** Those that are there no more though nobody told them to end. */
     public List<String> dead() {
         return all.stream().filter(proxy -> proxy.crashed() != null)
@@ -259,20 +297,39 @@
     public void stop() throws IOException {
         thread.shutdownNow();
         look();
+        List<Long> waited = all.stream().map(proxy -> watch.waited(proxy.process())).toList();
         for (ProxyProcess proxy : all) {
             proxy.signalBefore("KILL");
             proxy.signal("CONT");
             proxy.signal("TERM");
         }
-        long by = clock.now() + longest() + GRACE;
+        long told = clock.now();
         for (ProxyProcess proxy : all) {
-            if (!proxy.await(Math.max(1, (by - clock.now()) / 1000))) {
-                referee.process(Rule.CRASH, proxy.index(), clock.now(), "did not end after SIGTERM");
+            awaitEnd(proxy, told, waited.get(proxy.index()));
+        }
+        watch.close();
+        leftovers.clear();
+    }
+
+    private void awaitEnd(ProxyProcess proxy, long told, long waitedBefore) {
+        Limit limit = new Limit(longest() + GRACE);
+        Verdict verdict = Verdict.WITHIN;
+        while (!proxy.await(ASK_MILLIS)) {
+            long took = clock.now() - told, waited = watch.waited(proxy.process()) - waitedBefore;
+            Verdict next = limit.of(took, waited);
+            if (next == Verdict.STARVED && verdict != next) {
+                starvation.passed("the end of " + proxy.name(), took, waited);
+            }
+            verdict = next;
+            if (verdict == Verdict.PASSED || limit.over(took)) {
+                if (verdict == Verdict.PASSED) {
+                    referee.process(Rule.CRASH, proxy.index(), clock.now(), "did not end after SIGTERM");
+                }
                 proxy.signal("KILL");
                 proxy.await(5_000);
+                return;
             }
         }
-        leftovers.clear();
     }
 
     /** Datagrams and bytes between the proxies; none where the settings allow no peers. */
@@ -295,6 +352,7 @@
     public void close() {
         thread.shutdownNow();
         operators.shutdownNow();
+        watch.close();
         all.forEach(ProxyProcess::close);
         if (peers != null) {
             peers.close();
--- a/lab/src/main/java/dockrelay/lab/process/ProxyProcess.java
+++ b/lab/src/main/java/dockrelay/lab/process/ProxyProcess.java
@@ -1,5 +1,7 @@
 package dockrelay.lab.process;
 
+import dockrelay.lab.starvation.CoreCounts;
+import dockrelay.lab.starvation.Watched;
 import java.io.File;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -8,7 +10,9 @@
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -25,13 +29,18 @@
         }
     }
 
-    /** One process; told once it has been sent a signal to end. */
+    /**
+     * One process: the next one of an upgrade, or not; told once it has been sent a signal to end; it serves
+     * once it has said that it can.
+     */
     private static final class One {
         final Process process;
-        boolean told;
+        final boolean upgrade;
+        boolean told, serves;
 
-        One(Process process) {
+        One(Process process, boolean upgrade) {
             this.process = process;
+            this.upgrade = upgrade;
         }
 
         boolean alive() {
@@ -113,10 +122,10 @@
         builder.environment().put("TMPDIR", tmp.toAbsolutePath().toString());
         builder.environment().putAll(environment);
         if (socket == NO_SOCKET) {
-            now = new One(builder.redirectInput(new File("/dev/null")).start());
+            now = new One(builder.redirectInput(new File("/dev/null")).start(), before != null);
         } else {
             builder.environment().put("PROXY_SOCKET_FD", "0");
-            now = new One(Native.start(builder, socket));
+            now = new One(Native.start(builder, socket), before != null);
         }
         leftovers.started(now.process.toHandle());
         if (processor >= 0) {
@@ -140,6 +149,30 @@
         return now != null && now.alive();
     }
 
+    /** The process there is now; 0 where none was started. */
+    public synchronized long process() {
+        return now == null ? 0 : now.process.pid();
+    }
+
+    /** It has said that it can serve. At the clients' address it may be the one before that says so. */
+    public synchronized void serves(boolean atClientsAddress) {
+        if (now != null && now.alive() && !(atClientsAddress && now.upgrade)) {
+            now.serves = true;
+        }
+    }
+
+    /** What runs of it, to be watched; what has been told to end serves on to its end. */
+    public synchronized List<Watched> watched() {
+        List<Watched> result = new ArrayList<>();
+        for (One one : new One[] {now, before}) {
+            if (one != null && one.alive()) {
+                result.add(new Watched(name(), one.process.pid(), one.serves,
+                    processor < 0 ? CoreCounts.ALL : processor));
+            }
+        }
+        return result;
+    }
+
     /** What has ended though nobody told it to, and how; null where nothing has. */
     public synchronized String crashed() {
         for (One one : new One[] {now, before}) {
--- a/lab/src/main/java/dockrelay/lab/referee/Referee.java
+++ b/lab/src/main/java/dockrelay/lab/referee/Referee.java
@@ -19,7 +19,7 @@
  */
 public final class Referee {
     /** Every time limit is longer by this on sockets. */
-    private static final long SOCKETS = 50_000;
+    public static final long SOCKETS = 50_000;
     /** All are counted, so many are told. */
     private static final int MOST_TOLD = 200;
     /** What a kill or a pause has to do with a connection's end is seen this much around it. */
--- a/lab/src/main/java/dockrelay/lab/report/Result.java
+++ b/lab/src/main/java/dockrelay/lab/report/Result.java
@@ -36,11 +36,11 @@
     private final Map<String, Object> values = new LinkedHashMap<>();
     private final double g, waste, cpuSeconds;
     private final Referee.Totals totals;
-    private final boolean isVoid;
+    private final String rulesVoid, latenciesVoid;
 
-    /** The lab's own figures: what it was late with, and whether that makes the run void. */
-    public record Own(Histogram generatorLateness, Histogram loopLateness, String voidBecause,
-        List<Long> leftovers) {
+    /** The lab's own figures: what it was late with, and what the play says nothing of, and why. */
+    public record Own(Histogram generatorLateness, Histogram loopLateness, String rulesVoid,
+        String latenciesVoid, Map<String, Object> starvation, List<Long> leftovers) {
     }
 
     public Result(Plan plan, String build, Score score, Referee referee, List<Proxies.Figures> proxies,
@@ -50,7 +50,8 @@
         this.score = score;
         this.samples = List.copyOf(samples);
         this.broken = referee.broken();
-        this.isVoid = own.voidBecause != null;
+        this.rulesVoid = own.rulesVoid;
+        this.latenciesVoid = own.latenciesVoid;
         Part whole = score.whole();
         totals = referee.totals();
         double work = totals.usefulWork() + totals.wastedWork();
@@ -70,8 +71,10 @@
         values.put("plan_sha256", plan.hash());
         values.put("build", build);
         values.put("length_s", experiment.length() / SECOND);
-        values.put("void", isVoid);
-        values.put("void_because", own.voidBecause);
+        values.put("void", isVoid());
+        values.put("void_because", voidBecause());
+        values.put("rules_void_because", rulesVoid);
+        values.put("void_plays_before", List.of());
         values.put("g", round(g));
         values.put("g_parts", map("whole", round(whole.share()), "worst_10s", round(score.worstWindow()),
             "worst_class", round(score.worstClass()), "waste", round(waste), "late_fail", round(lateFail),
@@ -118,7 +121,7 @@
         }
         values.put("faults", faults);
         values.put("lab", map("generator_late_ms", percentiles(own.generatorLateness), "loop_late_ms",
-            percentiles(own.loopLateness), "leftovers_ended", own.leftovers));
+            percentiles(own.loopLateness), "starvation", own.starvation, "leftovers_ended", own.leftovers));
     }
 
     public double g() {
@@ -144,7 +147,22 @@
     }
 
     public boolean isVoid() {
-        return isVoid;
+        return voidBecause() != null;
+    }
+
+    /** Why the play says nothing of the proxies, in a line; null where it is valid. */
+    public String voidBecause() {
+        return rulesVoid != null ? rulesVoid : latenciesVoid;
+    }
+
+    /** Why it cannot be judged by this play whether the rules were kept; null where it can. */
+    public String rulesVoidBecause() {
+        return rulesVoid;
+    }
+
+    /** Why the plays before this one were void. */
+    public void afterVoid(List<String> reasons) {
+        values.put("void_plays_before", reasons);
     }
 
     /** Whether every rule was kept. */
@@ -271,8 +289,8 @@
         if (values.get("members") instanceof Map<?, ?> members && !members.isEmpty()) {
             text.append("members: ").append(members).append('\n');
         }
-        if (isVoid) {
-            text.append("VOID: ").append(values.get("void_because"))
+        if (isVoid()) {
+            text.append("VOID: ").append(voidBecause())
                 .append("; this machine could not carry it in real time, and what follows tells nothing\n");
         }
         if (kept()) {
--- a/lab/src/main/java/dockrelay/lab/world/Clients.java
+++ b/lab/src/main/java/dockrelay/lab/world/Clients.java
@@ -11,6 +11,7 @@
 import dockrelay.lab.spec.Experiment.Effect;
 import dockrelay.lab.spec.Experiment.Scope;
 import dockrelay.lab.spec.Experiment.ServiceClass;
+import dockrelay.lab.starvation.Lateness;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -23,7 +24,6 @@
 import java.util.HexFormat;
 import java.util.Locale;
 import java.util.random.RandomGenerator;
-import org.HdrHistogram.Histogram;
 
 /**
  * Open-loop clients: each request leaves at its planned time whatever became of the others, and its time
@@ -31,8 +31,6 @@
  * then. One loop's thread owns them.
  */
 public final class Clients {
-    /** Every time limit is longer by this on sockets. */
-    private static final long SOCKETS = 50_000;
     /** A client that has less time than this left does not try again. */
     private static final long LEAST = 1_000;
 
@@ -44,12 +42,13 @@
     private final Referee referee;
     private final Front front;
     private final Score score;
-    private final Histogram lateness = new Histogram(3);
+    private final Lateness lateness;
     private int next;
     private long zero;
     private int inHand;
 
-    public Clients(Plan plan, Net net, Clock clock, Referee referee, Front front, Score score) {
+    public Clients(Plan plan, Net net, Clock clock, Referee referee, Front front, Score score,
+        Lateness lateness) {
         this.plan = plan;
         this.experiment = plan.experiment();
         this.net = net;
@@ -58,6 +57,7 @@
         this.referee = referee;
         this.front = front;
         this.score = score;
+        this.lateness = lateness;
     }
 
     /** Sends from this moment on. */
@@ -75,17 +75,12 @@
                 net.later(loop, wait, this::pump);
                 return;
             }
-            lateness.recordValue(-wait);
+            lateness.record(-wait);
             next++;
             new Request(arrival).send();
         }
     }
 
-    /** How much later than planned requests left, in microseconds. */
-    public Histogram lateness() {
-        return loop.submit(lateness::copy).syncUninterruptibly().getNow();
-    }
-
     /** Requests that are not over yet. */
     public int inHand() {
         return loop.submit(() -> inHand + plan.arrivals().size() - next).syncUninterruptibly().getNow();
@@ -134,7 +129,7 @@
             referee.sent(one, tries == 0);
             tries++;
             connection.send(this, one, message(one));
-            connection.deadline(net.later(loop, timeout + experiment.rules().answerSlack() + SOCKETS,
+            connection.deadline(net.later(loop, timeout + experiment.rules().answerSlack() + Referee.SOCKETS,
                 () -> connection.overdue(one)));
         }
 
--- a/lab/src/main/java/dockrelay/lab/world/Front.java
+++ b/lab/src/main/java/dockrelay/lab/world/Front.java
@@ -24,6 +24,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
 import java.util.random.RandomGenerator;
 
 /**
@@ -45,9 +46,13 @@
     private final Net net;
     private final RandomGenerator random;
     private final long notice;
+    private final IntConsumer well;
     private boolean closed;
 
-    public Front(InetSocketAddress[] proxies, Experiment.Clients spec, long seed, Net net, Clock clock) {
+    /** Each yes of a proxy at healthz is told on, on the clients' loop. */
+    public Front(InetSocketAddress[] proxies, Experiment.Clients spec, long seed, Net net, Clock clock,
+        IntConsumer well) {
+        this.well = well;
         this.proxies = proxies.clone();
         this.admitted = new boolean[proxies.length];
         this.failingSince = new long[proxies.length];
@@ -101,6 +106,7 @@
         long now = clock.now();
         if (well) {
             admitted[proxy] = true;
+            this.well.accept(proxy);
             failingSince[proxy] = -1;
         } else if (failingSince[proxy] < 0) {
             failingSince[proxy] = now;
--- a/lab/src/test/java/dockrelay/lab/RealBudgetsTest.java
+++ b/lab/src/test/java/dockrelay/lab/RealBudgetsTest.java
@@ -67,8 +67,8 @@
             at = "25s"
             victims = ["n0"]
             """.formatted(EXTRA));
-        Result result = new LabRun(Plan.of(ExperimentReader.read(file), 3), Build.of(Path.of("..")),
-            folder.resolve("out"), text -> { }).play();
+        Result result = Plays.judged(() -> new LabRun(Plan.of(ExperimentReader.read(file), 3),
+            Build.of(Path.of("..")), folder.resolve("out"), text -> { }).play());
         assertEquals(List.of(), result.broken);
         int keepers = 0;
         for (String name : List.of("n0.1", "n1.1", "n2.1", "n3.1")) {
--- a/lab/src/test/java/dockrelay/lab/RealMembersTest.java
+++ b/lab/src/test/java/dockrelay/lab/RealMembersTest.java
@@ -55,8 +55,8 @@
             at = "26s"
             victims = ["n0"]
             """);
-        Result result = new LabRun(Plan.of(ExperimentReader.read(file), 3), Build.of(Path.of("..")),
-            folder.resolve("out"), text -> { }).play();
+        Result result = Plays.judged(() -> new LabRun(Plan.of(ExperimentReader.read(file), 3),
+            Build.of(Path.of("..")), folder.resolve("out"), text -> { }).play());
         assertEquals(List.of(), result.broken);
         Map<?, ?> members = (Map<?, ?>) result.values().get("members");
         assertEquals(3, members.get("deaths_seen"), members.toString()); // by the three others
--- a/lab/src/test/java/dockrelay/lab/RealProxiesTest.java
+++ b/lab/src/test/java/dockrelay/lab/RealProxiesTest.java
@@ -66,8 +66,8 @@
             at = "3s"
             victims = ["n2"]
             """);
-        Result result = new LabRun(Plan.of(ExperimentReader.read(file), 3), Build.of(Path.of("..")),
-            folder.resolve("out"), text -> { }).play();
+        Result result = Plays.judged(() -> new LabRun(Plan.of(ExperimentReader.read(file), 3),
+            Build.of(Path.of("..")), folder.resolve("out"), text -> { }).play());
         result.write(folder.resolve("out"));
         assertEquals(List.of(), result.broken);
         assertTrue(result.score.whole().count(End.IN_TIME) > result.score.whole().requests / 2,
--- a/lab/src/test/java/dockrelay/lab/RefereeProofTest.java
+++ b/lab/src/test/java/dockrelay/lab/RefereeProofTest.java
@@ -93,9 +93,8 @@
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         Build build = new Build(root, "FAULT=" + fault + " exec " + java + " -Xmx600m -XX:+UseSerialGC -cp '"
             + System.getProperty("java.class.path") + "' dockrelay.lab.StandIn");
-        Result result = new LabRun(Plan.of(ExperimentReader.read(file), 7), build,
-            folder.resolve("out-" + fault),
-            text -> { }).play();
+        Result result = Plays.judged(() -> new LabRun(Plan.of(ExperimentReader.read(file), 7), build,
+            folder.resolve("out-" + fault), text -> { }).play());
         return result.broken.stream().map(one -> one.rule()).collect(Collectors.toCollection(TreeSet::new));
     }
 
@@ -111,8 +110,8 @@
             }
             List<Executable> checks = new ArrayList<>();
             for (Map.Entry<String, Set<Rule>> proof : PROOFS.entrySet()) {
-                Set<Rule> seen = plays.get(proof.getKey()).get();
-                checks.add(() -> assertEquals(proof.getValue(), seen, proof.getKey()));
+                Future<Set<Rule>> play = plays.get(proof.getKey());
+                checks.add(() -> assertEquals(proof.getValue(), play.get(), proof.getKey()));
             }
             Set<Rule> proven = PROOFS.values().stream().flatMap(Set::stream).collect(Collectors.toSet());
             checks.add(() -> assertEquals(Set.of(Rule.values()), proven, "a rule without a proof"));
