--- a/lab/src/main/java/dockrelay/lab/starvation/Starvation.java
+++ b/lab/src/main/java/dockrelay/lab/starvation/Starvation.java
@@ -48,6 +48,7 @@
     private Worst worst = new Worst("", 0, 0, 0, 0);
     private String limit;
     private boolean judging;
+    private long looks;
 
     /** How much later than its time the referee lets an answer be, and how many cores a proxy may use. */
     public Starvation(long most, double cores) {
@@ -82,6 +83,7 @@
             }
         }
         if (judging) {
+            looks++;
             waits.addLast(now);
             judge(look, proxiesDoing);
         }
@@ -205,6 +207,7 @@
     public synchronized Map<String, Object> figures(boolean counted) {
         Map<String, Object> result = new LinkedHashMap<>();
         result.put("counted", counted);
+        result.put("looks", looks);
         result.put("bound_ms", most / 1e3);
         result.put("worst_ms", worst.together() / 1e3);
         result.put("worst_waited_ms", worst.waited / 1e3);
