--- a/decision/src/main/java/dockrelay/Balancer.java
+++ b/decision/src/main/java/dockrelay/Balancer.java
@@ -135,7 +135,8 @@
      * them it is, and the part of what all together may spend that is its own whatever others believe; the
      * least part is its own without anybody's word. Who tells of this once tells anew well within a second.
      * Counts and agreement may rest on what others passed on, {@code countsAge} ago at the most: 0 where all
-     * of it is at first hand, else others may count otherwise and nothing shared may be spent by counts.
+     * of it is at first hand, else others may count otherwise meanwhile and nothing shared may be spent by
+     * counts.
      */
     record Fleet(int proxies, int me, double share, double leastShare, Agreement agreement, long age,
                  long countsAge) {
@@ -206,7 +207,8 @@
     void onTimer(long now, long token);
 
     /** What a probe found; report may be null. */
-    void onProbe(long now, long backend, Outcome outcome, long latency, LoadReport report);
+    default void onProbe(long now, long backend, Outcome outcome, long latency, LoadReport report) {
+    }
 
     /** What is known of the other proxies now; without a word of it the settings' number of them holds. */
     void onFleet(long now, Fleet fleet);
