Show that a process takes in a fleet of 5,700 names with the heap of run

Need: a process that is given 5,700 names did not start its membership (1,024 at the most), and its log would have named all.

--- a/proxy/src/test/java/dockrelay/proxy/PeersProcessTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/PeersProcessTest.java
@@ -71,7 +71,8 @@
     private String peers(int count, String more) {
         StringBuilder text = new StringBuilder("\"peer_listen\":\"127.0.0.1:" + peer + "\",\"peers\":{");
         for (int i = 0; i < count; i++) {
-            text.append(i == 0 ? "" : ",").append("\"n" + i + "\":\"127.0.0.1:" + (i == 0 ? peer : i) + "\"");
+            text.append(i == 0 ? "" : ",").append("\"n" + i + "\":\"" + (i == 0 ? "127.0.0.1:" + peer
+                : "127.1." + i / 250 + "." + (1 + i % 250) + ":9") + "\"");
         }
         return text + "}," + more;
     }
@@ -214,6 +215,23 @@
             + "[n0, n1]");
     }
 
+    /** With the heap that `run` has; the most names that were taken before were 1,024. */
+    @Test
+    void aFleetOfThousandsIsTakenIn() throws Exception {
+        write(peers(5_700, ""));
+        start();
+        Fakes.await("its socket", () -> call("MEMBERS").startsWith(
+            "200 present=1 of=5700 agreement=minority "));
+        String members = call("MEMBERS");
+        assertTrue(members.contains(" counted=5700 ") && members.contains(" groups=89 "), members);
+        assertTrue(members.lines().count() < 130, "the own group only: " + members.lines().count());
+        assertEquals(90, call("GROUPS").lines().count());
+        write(peers(5_699, ""));
+        reload();
+        awaitLog("members: the list is now of 5699 names, 0 new and 1 off it, in 89 groups; its own is ");
+        assertTrue(read(folder.resolve("log")).lines().allMatch(line -> line.length() < 600), "short lines");
+    }
+
     @Test
     void aFileOfAnotherProxyChangesNoPeers() throws Exception {
         write(peers(3, ""));
