Aim at groups of 48, none of them under 32 by chance

Need: at 64 (up to 85 by chance) a death was known in its group after 2.10 s (p99; bound 2 s), and at 5,700 the member that sends most sent 12.74 kB/s in 10 s of a quiet time (bound 13).

Change: 48 is aimed at; a group has at most 1.2 times its zone's mean, and what chance makes smaller than 32 takes the names that come next for it.

--- a/fleet/src/main/java/dockrelay/fleet/group/Grouping.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/Grouping.java
@@ -18,13 +18,13 @@
  * one name more or fewer moves hardly another one, and one group more or fewer about a group's worth.
  */
 public final class Grouping {
-    /** The size that is aimed at. */
-    public static final int USUAL_SIZE = 64, LEAST_SIZE = 32, MOST_SIZE = 128;
+    /** The size that is aimed at: the smallest of which groups still have the least that is wanted. */
+    public static final int USUAL_SIZE = 48, LEAST_SIZE = 32, MOST_SIZE = 128;
     private static final int MOST_NAMES = 16_384, LONGEST_NAME = 64;
     /** What is told of each group has to fit one datagram. */
     private static final int MOST_GROUPS = 512;
-    /** A group holds at most this many times the mean of its zone, so that chance makes none too small. */
-    private static final double FULLEST = 4.0 / 3;
+    /** A group holds at most this many times the mean of its zone, and is filled up to so much of it. */
+    private static final double FULLEST = 1.2, EMPTIEST = 0.9;
     /** Groups of more than this part of the most in the mean could pass it by chance. */
     private static final double MOST_MEAN = 0.9;
 
@@ -35,11 +35,13 @@
     private final int[] keys, before;
     private final int hash;
 
-    private Grouping(Map<String, ? extends Collection<String>> zones, int size, int most) {
+    private Grouping(Map<String, ? extends Collection<String>> zones, int size, int least,
+                     int most) {
         check(zones);
         CRC32C whole = new CRC32C();
         for (Map.Entry<String, ? extends Collection<String>> zone : new TreeMap<>(zones).entrySet()) {
-            List<List<String>> groups = split(zone.getKey(), new TreeSet<>(zone.getValue()), size, most);
+            List<List<String>> groups = split(zone.getKey(), new TreeSet<>(zone.getValue()), size, least,
+                most);
             for (int i = 0; i < groups.size(); i++) {
                 String label = zone.getKey().isEmpty() ? Integer.toString(i + 1)
                     : zone.getKey() + "/" + (i + 1);
@@ -78,12 +80,12 @@
             throw new GroupException(Code.SIZE, "group size", Integer.toString(size),
                 "allowed are " + LEAST_SIZE + " to " + MOST_SIZE);
         }
-        return new Grouping(zones, size, MOST_SIZE);
+        return new Grouping(zones, size, LEAST_SIZE, MOST_SIZE);
     }
 
     /** With groups of a size that only tests want. */
     static Grouping ofAnySize(Map<String, ? extends Collection<String>> zones, int size) {
-        return new Grouping(zones, size, MOST_NAMES);
+        return new Grouping(zones, size, 0, MOST_NAMES);
     }
 
     private void check(Map<String, ? extends Collection<String>> zones) {
@@ -133,7 +135,8 @@
         }
     }
 
-    private static List<List<String>> split(String zone, TreeSet<String> names, int size, int most) {
+    private static List<List<String>> split(String zone, TreeSet<String> names, int size, int least,
+                                            int most) {
         int n = names.size();
         int groups = n <= Math.min(1.5 * size, most) ? 1
             : (int) Math.max(Math.round((double) n / size), Math.ceil(n / (MOST_MEAN * most)));
@@ -157,9 +160,35 @@
             result.get(best).add(name);
         }
         result.removeIf(List::isEmpty); // chance, among the few names of a test
+        if (least > 0) {
+            fill(result, (int) Math.min(least, EMPTIEST * n / groups), seeds);
+        }
         return result;
     }
 
+    /** Groups that chance has made too small take those names that come next for them. */
+    private static void fill(List<List<String>> groups, int least, long[] seeds) {
+        for (int i = 0; i < groups.size(); i++) {
+            while (groups.get(i).size() < least) {
+                List<String> from = null;
+                String next = null;
+                long highest = 0;
+                for (List<String> group : groups) {
+                    for (String name : group.size() > least ? group : List.<String>of()) {
+                        long number = mixed(seeds[i] ^ hashed(name));
+                        if (next == null || number > highest) {
+                            from = group;
+                            next = name;
+                            highest = number;
+                        }
+                    }
+                }
+                from.remove(next);
+                groups.get(i).add(next);
+            }
+        }
+    }
+
     /** FNV-1a. */
     private static long hashed(String text) {
         long hash = 0xcbf29ce484222325L;
