Check in each step that an old summary shows in the fact

Need: a summary past its age counts for nothing, and the fact has to say so.

Change: the simulation checks that a group which still counts without a fresh summary leaves no agreement of all, and that the fact's age is at least each row's. A table's page without rows is not asked on for.

--- a/fleet/src/main/java/dockrelay/fleet/group/TableAsker.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/TableAsker.java
@@ -207,7 +207,7 @@
                 }
             }
         }
-        if (told.more) {
+        if (told.more && !told.rows.isEmpty()) {
             ask(now, question.to);
         }
     }
--- a/fleet/src/test/java/dockrelay/fleet/group/FleetWorld.java
+++ b/fleet/src/test/java/dockrelay/fleet/group/FleetWorld.java
@@ -342,6 +342,10 @@
             sum += row.counted();
             if (group != grouping.groupOf(process.name)) {
                 look(process, group, row);
+                boolean old = row.counted() > 0 && (!row.fresh() || standing.age() < row.age());
+                if (old && (standing.agreement() == Agreement.ALL || standing.age() < row.age())) {
+                    throw new Broken(process.name + " has " + standing + " with " + row);
+                }
             }
         }
         if (Math.max(1, sum) != standing.members()) {
