--- a/decision/src/main/java/dockrelay/RiqBalancer.java
+++ b/decision/src/main/java/dockrelay/RiqBalancer.java
@@ -779,18 +779,17 @@
     }
 
     @Override public void onPeerMessage(long now, int from, String message) {
-        String[] parts = message.split(" ", -1);
-        boolean known = from >= 0 && from < settings.proxies() && from != settings.me();
-        if (!known || parts.length != tenants.size()) {
+        String[] all = message.split(" ", -1);
+        if (from < 0 || from >= settings.proxies() || from == settings.me() || all.length != tenants.size()) {
             return;
         }
-        double[] asked = new double[parts.length + 1];
+        double[] asked = new double[all.length + 1];
         try {
-            Arrays.setAll(asked, i -> i < parts.length ? Double.parseDouble(parts[i]) : now);
+            Arrays.setAll(asked, i -> i < all.length ? Double.parseDouble(all[i]) : now);
         } catch (NumberFormatException e) {
             return; // garbled on the way: the last good word holds until it is stale
         }
-        if (Arrays.stream(asked, 0, parts.length).allMatch(each -> each >= 0 && each < 1e9)) {
+        if (Arrays.stream(asked, 0, all.length).allMatch(each -> each >= 0 && each < 1e9)) {
             told.put(from, asked); // with the time
         }
     }
@@ -844,8 +843,7 @@
 
     /** SplitMix64: small, good enough for draws, the same wherever it is ported to. */
     double uniform() {
-        random += 0x9E3779B97F4A7C15L;
-        return (mixed(random) >>> 11) * 0x1.0p-53;
+        return (mixed(random += 0x9E3779B97F4A7C15L) >>> 11) * 0x1.0p-53;
     }
 
     static long mixed(long z) {
