Look a listed backend up once where it may be new

Each entry of a list was searched for, and searched for again to be put in its place, through a comparison of three calls. RecordedEventsTest as before.

--- a/decision/src/main/java/dockrelay/Ring.java
+++ b/decision/src/main/java/dockrelay/Ring.java
@@ -12,16 +12,15 @@
     /** An entry of the list, and what is known of the backend beside that: null until it matters. */
     static final class Place {
         final int number; // in the order of their coming
-        final long key;
-        Balancer.Backend entry;
+        final long key; // all proxies order them by it
+        Balancer.Backend entry; // null until it has one
         Node node;
         int listed; // at this event of the list
         boolean drained;
 
-        Place(int number, Balancer.Backend entry) {
+        Place(int number, long key) {
             this.number = number;
-            this.entry = entry;
-            this.key = RiqBalancer.mixed(entry.id());
+            this.key = key;
         }
 
         double weight() {
@@ -54,27 +53,24 @@
     int size;
     long steps; // places looked at or moved: for tests
 
-    private int compare(Place place, long key) {
-        steps++;
-        return Long.compare(place.key, key);
-    }
-
     /** The number of the block where it is, or would be. */
     private int block(long key) {
         int at = Collections.binarySearch(blocks, null, (block, none) -> block.places.isEmpty() ? -1
-            : compare(block.places.get(0), key));
+            : Long.compare(block.places.get(0).key, key));
         return at >= 0 ? at : Math.max(0, -2 - at);
     }
 
     private int index(Block block, long key) {
-        return Collections.binarySearch(block.places, null, (place, none) -> compare(place, key));
+        steps++;
+        return Collections.binarySearch(block.places, null, (place, none) -> Long.compare(place.key, key));
     }
 
-    /** Null where there is none. */
-    Place get(long id) {
-        Block block = blocks.get(block(RiqBalancer.mixed(id)));
-        int index = index(block, RiqBalancer.mixed(id));
-        return index < 0 ? null : block.places.get(index);
+    /** A backend's place; one of this number is made for it where it has none. */
+    Place place(long id, int number) {
+        long key = RiqBalancer.mixed(id);
+        Block block = blocks.get(block(key));
+        int index = index(block, key);
+        return index >= 0 ? block.places.get(index) : add(block, -1 - index, new Place(number, key));
     }
 
     /** Something else is to be said of its block now. */
@@ -86,7 +82,11 @@
 
     void add(Place place) {
         Block block = changed(place);
-        block.places.add(-1 - index(block, place.key), place);
+        add(block, -1 - index(block, place.key), place);
+    }
+
+    private Place add(Block block, int index, Place place) {
+        block.places.add(index, place);
         size++;
         if (block.places.size() > MOST) {
             List<Place> half = block.places.subList(MOST / 2, MOST + 1);
@@ -95,6 +95,7 @@
             half.clear();
             blocks.add(blocks.indexOf(block) + 1, upper);
         }
+        return place;
     }
 
     /** Removes one that is there. */
--- a/decision/src/main/java/dockrelay/Roster.java
+++ b/decision/src/main/java/dockrelay/Roster.java
@@ -123,12 +123,9 @@
         List<Place> leaving = new ArrayList<>();
         event++;
         for (Backend entry : entries) {
-            Place place = get(entry.id());
-            Backend before = place == null ? null : place.entry;
-            if (place == null) {
-                place = new Place(born++, entry);
-                add(place);
-            }
+            Place place = place(entry.id(), born);
+            Backend before = place.entry;
+            born += before == null ? 1 : 0;
             boolean restarted = entry.startedAt() != (before == null ? 0 : before.startedAt());
             boolean warm = entry.startedAt() + rules.coldTime() <= now; // by the list alone
             move(place, before, entry);
--- a/proxy/src/main/java/dockrelay/proxy/BackendPool.java
+++ b/proxy/src/main/java/dockrelay/proxy/BackendPool.java
@@ -80,7 +80,7 @@
     private int most;
     private final long idleNanos, settledNanos;
     private LongObjectMap<RequestTable.Member> listed = Listing.map(0);
-    private final Map<Long, Peer> peers = new HashMap<>(); // those of them that were sent to
+    private final LongObjectMap<Peer> peers = Listing.map(0); // those of them that were sent to
     private final Set<Connection> idle = new LinkedHashSet<>(); // the first one was used first
     private int connections;
     private boolean spoilt;
@@ -197,8 +197,8 @@
 
     /** What is listed is there to be sent to at any time; of what is not, only what is open still matters. */
     private void forget(Peer peer) {
-        if (peer.open == 0 && !listed.containsKey(peer.id)) {
-            peers.remove(peer.id, peer);
+        if (peer.open == 0 && !listed.containsKey(peer.id) && peers.get(peer.id) == peer) {
+            peers.remove(peer.id);
         }
     }
 
