Read one entry of a list after the other into the same map

Each entry of a long list left a map with its nodes behind, most of what is allocated while a list comes. What the reader has made something of serves for the next one; ListParserTest has what must not be mixed up.

--- a/proxy/src/main/java/dockrelay/proxy/ListParser.java
+++ b/proxy/src/main/java/dockrelay/proxy/ListParser.java
@@ -36,6 +36,7 @@
     private final ByteArrayFeeder feeder;
     private final Deque<Object> open = new ArrayDeque<>(); // of a value that is not whole, the inmost first
     private final Deque<String> names = new ArrayDeque<>(); // under which these are kept, one for each map
+    private Map<?, ?> spare; // an entry's that was read
     private Map<String, Object> top; // of an object that is not whole, all but its entries
     private List<Object> entries;
     private String name; // the top's, of the value to come
@@ -106,8 +107,12 @@
     }
 
     private void opens(JsonToken token) {
-        open.push(token == JsonToken.START_OBJECT ? new LinkedHashMap<String, Object>()
-            : new ArrayList<>());
+        if (token == JsonToken.START_ARRAY) {
+            open.push(new ArrayList<>());
+        } else {
+            open.push(spare == null ? new LinkedHashMap<String, Object>() : spare);
+            spare = null;
+        }
     }
 
     /** Within a value that is an object or an array. */
@@ -145,11 +150,20 @@
         } else if (entries.size() >= MOST_ENTRIES) {
             throw new IOException("a list of more than " + MOST_ENTRIES + " entries");
         } else {
-            entries.add(value instanceof Map<?, ?> entry ? reader.apply(entry) : value);
+            entries.add(value instanceof Map<?, ?> entry ? made(entry) : value);
         }
         moved();
     }
 
+    private Object made(Map<?, ?> entry) {
+        Object made = reader.apply(entry);
+        if (made != entry) {
+            entry.clear();
+            spare = entry; // what the reader has no use for serves for the next one
+        }
+        return made;
+    }
+
     private void moved() {
         since = 0;
         read++;
--- a/proxy/src/test/java/dockrelay/proxy/ListParserTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/ListParserTest.java
@@ -62,6 +62,18 @@
         assertEquals(4, read.size(), "objects among the entries");
     }
 
+    /** Nothing of an entry that the reader has made something of is left in the next one. */
+    @Test
+    void whatTheReaderMakesStandsForItsEntry() throws IOException {
+        List<ListParser.Update> made = new ArrayList<>();
+        ListParser other = new ListParser(entry -> entry.size() > 1 ? entry.toString() : entry, made::add);
+        byte[] bytes = "{\"servers\":[{\"a\":1,\"b\":[{}]},{\"c\":2},{\"d\":3,\"e\":{\"f\":4}},{\"g\":5}]}"
+            .getBytes(StandardCharsets.UTF_8);
+        other.feed(bytes, bytes.length);
+        assertEquals(List.of("{a=1, b=[{}]}", Map.of("c", 2L), "{d=3, e={f=4}}", Map.of("g", 5L)),
+            made.get(0).entries());
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"[]", "7", "\"text\"", "{\"a\":}", "{\"servers\":[}", "{\"a\" 1}", "nonsense",
         "}"})
