--- a/lab/src/main/java/dockrelay/lab/Main.java
+++ b/lab/src/main/java/dockrelay/lab/Main.java
@@ -4,6 +4,8 @@
 import dockrelay.lab.process.Build;
 import dockrelay.lab.report.Result;
 import dockrelay.lab.report.TablePage;
+import dockrelay.lab.scale.CapacityCommand;
+import dockrelay.lab.scale.ScaleCommand;
 import dockrelay.lab.spec.Experiment;
 import dockrelay.lab.spec.ExperimentReader;
 import dockrelay.lab.spec.SpecException;
@@ -21,7 +23,8 @@
 
 /** The lab's commands. Exit codes: 0 done, 1 a rule was broken or the run fell short, 2 misuse. */
 @Command(name = "lab", mixinStandardHelpOptions = true, version = "lab 0.1.0", subcommands = {Main.Run.class,
-    Main.Compare.class, Main.Sweep.class, Main.Check.class, Main.ListAll.class}, description =
+    Main.Compare.class, Main.Sweep.class, Main.Check.class, Main.ListAll.class, ScaleCommand.class,
+    CapacityCommand.class}, description =
         "Plays real proxies against an emulated world.",
     exitCodeListHeading = "Exit codes:%n", exitCodeList = {"0:done, every rule kept",
         "1:a rule was broken, or the run is void or could not start",
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/scale/CapacityCommand.java
@@ -0,0 +1,33 @@
+package dockrelay.lab.scale;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** {@code lab capacity}: writes the tables of the page of capacity from the figures. */
+@Command(name = "capacity", mixinStandardHelpOptions = true, description =
+    "Writes the tables of a page between its two marks, " + Tables.BEGIN + " and " + Tables.END + ".")
+public final class CapacityCommand implements Callable<Integer> {
+    @Option(names = "--page", required = true, description = "such as docs/CAPACITY.md")
+    Path page;
+    @Parameters(paramLabel = "SCALE.JSON", arity = "1..*", description =
+        "figures as lab scale writes them; the page shows them in the order of their making")
+    List<Path> files;
+
+    @Override
+    public Integer call() throws Exception {
+        List<ScaleResult> results = new ArrayList<>();
+        for (Path file : files) {
+            results.add(ScaleResult.read(file));
+        }
+        String text = Files.readString(page);
+        Files.writeString(page, Tables.into(page, text, results));
+        System.out.println(page + ": " + results.size() + " runs");
+        return 0;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/scale/Fit.java
@@ -0,0 +1,59 @@
+package dockrelay.lab.scale;
+
+import java.util.List;
+import org.apache.commons.math3.stat.regression.SimpleRegression;
+
+/**
+ * How a figure goes with the size, by least squares over all plays: the exponent from the logarithms (null
+ * where a value is not above 0) and the slope on the size itself, each with its standard error.
+ */
+public record Fit(int sizes, Double exponent, Double exponentError, double slope, double slopeError,
+                  double intercept, double interceptError, String grows) {
+    /** Fewer sizes make no fit. */
+    public static final int LEAST_SIZES = 4;
+    /** An exponent this far from a whole one still counts as that one. */
+    private static final double NEAR = 0.1, UNKNOWN = 0.25, FLAT = 0.3;
+
+    public static final String FASTER = "faster than linear", LINEAR = "linear", BELOW = "below linear",
+        CONSTANT = "constant", FALLS = "falls", NOT_TOLD = "not told";
+
+    /** Null where there are too few sizes. */
+    public static Fit of(List<Figure> figures) {
+        int sizes = (int) figures.stream().mapToInt(Figure::size).distinct().count();
+        if (sizes < LEAST_SIZES) {
+            return null;
+        }
+        SimpleRegression plain = new SimpleRegression(), logs = new SimpleRegression();
+        boolean positive = true, same = true;
+        for (Figure figure : figures) {
+            plain.addData(figure.size(), figure.value());
+            positive &= figure.value() > 0;
+            same &= figure.value() == figures.get(0).value();
+            if (positive) {
+                logs.addData(Math.log(figure.size()), Math.log(figure.value()));
+            }
+        }
+        Double exponent = positive ? (Double) logs.getSlope() : null;
+        Double error = positive ? (Double) logs.getSlopeStdErr() : null;
+        return new Fit(sizes, exponent, error, plain.getSlope(), plain.getSlopeStdErr(), plain.getIntercept(),
+            plain.getInterceptStdErr(), same ? CONSTANT : positive ? grows(exponent, error) : NOT_TOLD);
+    }
+
+    /** Two errors either way have to say so. */
+    static String grows(double exponent, double error) {
+        if (exponent - 2 * error > 1 + NEAR) {
+            return FASTER;
+        }
+        if (Math.abs(exponent) <= NEAR && error <= UNKNOWN
+            || Math.abs(exponent) <= 2 * error && Math.abs(exponent) + error < FLAT) {
+            return CONSTANT;
+        }
+        if (exponent + 2 * error < 0) {
+            return FALLS;
+        }
+        if (exponent + 2 * error < 1 - NEAR) {
+            return BELOW;
+        }
+        return error > UNKNOWN ? NOT_TOLD : LINEAR;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/scale/Progress.java
@@ -0,0 +1,7 @@
+package dockrelay.lab.scale;
+
+/** Takes lines that tell how a run goes on. */
+@FunctionalInterface
+public interface Progress {
+    void line(String text);
+}
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/scale/Roles.java
@@ -0,0 +1,25 @@
+package dockrelay.lab.scale;
+
+import java.util.List;
+
+/** The roles that there are. */
+public final class Roles {
+    private static final List<Role> ALL = List.of(
+    );
+
+    private Roles() {
+    }
+
+    public static List<Role> all() {
+        return ALL;
+    }
+
+    /** Null where there is none of this name. */
+    public static Role of(String name) {
+        return ALL.stream().filter(role -> role.name().equals(name)).findFirst().orElse(null);
+    }
+
+    static String names() {
+        return String.join(", ", ALL.stream().map(Role::name).toList());
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/scale/ScaleCommand.java
@@ -0,0 +1,49 @@
+package dockrelay.lab.scale;
+
+import dockrelay.lab.spec.SpecException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** {@code lab scale}: measures one role at several sizes. */
+@Command(name = "scale", mixinStandardHelpOptions = true, description =
+    "Measures one role at several sizes and writes scale.json.")
+public final class ScaleCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE", description = "what to measure, experiments/scale/*.toml")
+    Path file;
+    @Option(names = "--out", required = true, description = "folder for scale.json")
+    Path out;
+    @Option(names = "--role", description = "goes before the file's role")
+    String role;
+    @Option(names = "--quick", description = "the file's quick_sizes, once each")
+    boolean quick;
+    @Option(names = "--note", defaultValue = "",
+        description = "goes into scale.json, such as what ran beside")
+    String note;
+    @Option(names = "--build", defaultValue = "${sys:stoatreel.root:-.}", description =
+        "checkout that the figures are of (${DEFAULT-VALUE})")
+    Path root;
+
+    @Override
+    public Integer call() throws Exception {
+        if (role != null && Roles.of(role) == null) {
+            throw new SpecException("--role " + role + ": allowed is one of " + Roles.names());
+        }
+        long began = System.nanoTime();
+        ScaleSpec spec = ScaleSpec.read(file, role == null ? null : Roles.of(role), quick);
+        try {
+            ScaleResult result = new ScaleRun(spec, text -> System.err.printf("%6.1f s  %s%n",
+                (System.nanoTime() - began) / 1e9, text)).play(root, note);
+            Path to = out.resolve("scale.json");
+            result.write(to);
+            System.out.print(Tables.plain(result));
+            System.out.println("figures: " + to);
+            return 0;
+        } catch (RefusedException e) {
+            System.err.println("refused: " + e.getMessage());
+            return 1;
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/scale/ScaleResult.java
@@ -0,0 +1,60 @@
+package dockrelay.lab.scale;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/** All that a run has measured, as {@code scale.json} has it. */
+public record ScaleResult(Map<String, Object> build, Map<String, Object> machine, String when, String spec,
+                          String note, long seed, List<Figure> figures, List<Refusal> refused,
+                          List<Slope> slopes) {
+    private static final ObjectMapper JSON = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT)
+        .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
+        .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+    /** A size that was not played, and why. */
+    public record Refusal(String role, int size, String why) {
+    }
+
+    /** How one figure goes with the size. */
+    public record Slope(String role, String name, String unit, String how, Fit fit) {
+    }
+
+    /** What one figure is told apart by. */
+    private record Key(String role, String name, String unit, String how) {
+    }
+
+    /** A slope for each figure that was measured at enough sizes. */
+    static List<Slope> slopes(List<Figure> figures) {
+        Map<Key, List<Figure>> groups = figures.stream().collect(Collectors.groupingBy(
+            (Function<Figure, Key>) one -> new Key(one.role(), one.name(), one.unit(), one.how()),
+            LinkedHashMap::new, Collectors.toList()));
+        List<Slope> result = new ArrayList<>();
+        groups.forEach((key, values) -> {
+            Fit fit = Fit.of(values);
+            if (fit != null) {
+                result.add(new Slope(key.role, key.name, key.unit, key.how, fit));
+            }
+        });
+        return result;
+    }
+
+    void write(Path file) throws IOException {
+        Files.createDirectories(file.toAbsolutePath().getParent());
+        Files.writeString(file, JSON.writeValueAsString(this) + "\n");
+    }
+
+    static ScaleResult read(Path file) throws IOException {
+        return JSON.readValue(file.toFile(), new TypeReference<>() { });
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/scale/ScaleRun.java
@@ -0,0 +1,77 @@
+package dockrelay.lab.scale;
+
+import dockrelay.lab.scale.ScaleResult.Refusal;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** Plays one specification: all sizes in turn, each so many times. */
+public final class ScaleRun {
+    private static final int MOST_PROCESSES = 200;
+
+    private final ScaleSpec spec;
+    private final long memory;
+    private final Progress progress;
+
+    public ScaleRun(ScaleSpec spec, Progress progress) {
+        this(spec, Machine.memory(), progress);
+    }
+
+    ScaleRun(ScaleSpec spec, long memory, Progress progress) {
+        this.spec = spec;
+        this.memory = memory;
+        this.progress = progress;
+    }
+
+    /** Refuses what would take more than half of the memory or too many processes, before anything runs. */
+    void check() throws RefusedException {
+        Estimate[] all = spec.sizes().stream().map(size -> spec.role().estimate(spec, size))
+            .toArray(Estimate[]::new);
+        spec.done();
+        for (int i = 0; i < all.length; i++) {
+            String what = spec.name() + ": " + spec.role().name() + " at " + spec.sizes().get(i)
+                + " would take ";
+            if (all[i].bytes() > memory / 2) {
+                throw new RefusedException(what + (all[i].bytes() >> 20) + " MiB; allowed is half of this"
+                    + " machine's memory, " + (memory / 2 >> 20) + " MiB: take smaller sizes");
+            }
+            if (all[i].processes() > MOST_PROCESSES) {
+                throw new RefusedException(what + all[i].processes() + " processes; allowed are "
+                    + MOST_PROCESSES + ": take smaller sizes");
+            }
+        }
+    }
+
+    /** Measures all; a size that the code does not take is noted as refused and the rest goes on. */
+    public ScaleResult play(Path root, String note) throws Exception {
+        check();
+        Map<String, Object> machine = Machine.described(), build = Source.of(root);
+        machine.put("load_before", Machine.load());
+        String when = Instant.now().truncatedTo(ChronoUnit.SECONDS).toString();
+        List<Figure> figures = new ArrayList<>();
+        List<Refusal> refused = new ArrayList<>();
+        for (int size : spec.sizes()) {
+            for (int play = 1; play <= spec.plays(); play++) {
+                long began = System.nanoTime();
+                String what = spec.role().name() + " " + size + ", play " + play + " of " + spec.plays();
+                progress.line(what);
+                try {
+                    figures.addAll(spec.role().play(spec, size, play, progress));
+                    progress.line(String.format(Locale.ROOT, "%s: %.1f s", what, (System.nanoTime() - began)
+                        / 1e9));
+                } catch (RefusedException e) {
+                    refused.add(new Refusal(spec.role().name(), size, e.getMessage()));
+                    progress.line(what + ": refused: " + e.getMessage());
+                    break;
+                }
+            }
+        }
+        machine.put("load_after", Machine.load());
+        return new ScaleResult(build, machine, when, spec.name(), note, spec.seed(), figures, refused,
+            ScaleResult.slopes(figures));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/scale/ScaleSpec.java
@@ -0,0 +1,98 @@
+package dockrelay.lab.scale;
+
+import dockrelay.lab.spec.Section;
+import dockrelay.lab.spec.SpecException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * What is to be measured: one role, at these sizes, so many times each. The role's own keys are in the table
+ * of its name.
+ */
+public final class ScaleSpec {
+    private static final int MOST_SIZE = 1_000_000, MOST_PLAYS = 100;
+
+    private final Path file;
+    private final Role role;
+    private final List<Integer> sizes;
+    private final int plays;
+    private final long seed;
+    private final boolean quick;
+    private final Section top, own;
+
+    private ScaleSpec(Path file, Section top, Role wanted, boolean quick) {
+        this.file = file;
+        this.top = top;
+        this.quick = quick;
+        String name = top.text("role", wanted == null ? null : wanted.name());
+        role = wanted != null ? wanted : Roles.of(name);
+        if (role == null) {
+            throw top.wrong("role", "one of " + Roles.names());
+        }
+        List<Integer> all = top.counts("sizes", null, 1, MOST_SIZE);
+        List<Integer> few = top.counts("quick_sizes", all.subList(0, Math.min(2, all.size())), 1,
+            MOST_SIZE);
+        sizes = quick ? few : all;
+        int given = top.count("plays", 1, 1, MOST_PLAYS);
+        plays = quick ? 1 : given;
+        seed = top.count("seed", 1, 0, Integer.MAX_VALUE);
+        own = top.child(role.name());
+    }
+
+    /**
+     * Throws a SpecException that says what is wrong in one line. A role given here goes before the file's.
+     */
+    public static ScaleSpec read(Path file, Role role, boolean quick) {
+        try {
+            return of(file, Files.readString(file), role, quick);
+        } catch (NoSuchFileException e) {
+            throw new SpecException(file + ": no such file");
+        } catch (IOException e) {
+            throw new SpecException(file + ": cannot be read: " + e.getMessage());
+        }
+    }
+
+    /** The same from a text, for tests. */
+    public static ScaleSpec of(Path file, String text, Role role, boolean quick) {
+        return new ScaleSpec(file, Section.of(file, text), role, quick);
+    }
+
+    public String name() {
+        return file.getFileName().toString();
+    }
+
+    public Role role() {
+        return role;
+    }
+
+    public List<Integer> sizes() {
+        return sizes;
+    }
+
+    public int plays() {
+        return plays;
+    }
+
+    public long seed() {
+        return seed;
+    }
+
+    /** Whether this is a short look: a role may then play less of what it plays. */
+    public boolean quick() {
+        return quick;
+    }
+
+    /** The table of the role's own keys. */
+    public Section own() {
+        return own;
+    }
+
+    /** Refuses keys that nothing has read. */
+    void done() {
+        top.done();
+        own.done();
+    }
+}
--- a/lab/src/main/java/dockrelay/lab/spec/Section.java
+++ b/lab/src/main/java/dockrelay/lab/spec/Section.java
@@ -20,7 +20,7 @@
  * One table of an experiment file. Each read says what is allowed, so an error can; {@link #done()} names
  * the keys that nothing has read.
  */
-final class Section {
+public final class Section {
     private static final int FAR = 3;
 
     private final Path file;
@@ -36,6 +36,11 @@
         this.overrides = overrides;
     }
 
+    /** The whole of a file's text. */
+    public static Section of(Path file, String text) {
+        return of(file, text, Overrides.of(List.of()));
+    }
+
     static Section of(Path file, String text, Overrides overrides) {
         TomlParseResult parsed = Toml.parse(text);
         if (parsed.hasErrors()) {
@@ -47,7 +52,7 @@
     }
 
     /** A table that may be absent: every key then has its default. */
-    Section child(String key) {
+    public Section child(String key) {
         Object value = get(key);
         if (value == null) {
             return new Section(file, Toml.parse(""), path + key + ".", overrides);
@@ -59,7 +64,7 @@
     }
 
     /** The tables of an array of them; none where it is absent. */
-    List<Section> each(String key) {
+    public List<Section> each(String key) {
         List<Section> result = new ArrayList<>();
         Object value = get(key);
         if (value == null) {
@@ -77,7 +82,7 @@
         return result;
     }
 
-    String text(String key, String fallback) {
+    public String text(String key, String fallback) {
         Object value = get(key);
         if (value == null && fallback != null) {
             return fallback;
@@ -88,7 +93,7 @@
         throw wrong(key, "a text in quotes");
     }
 
-    List<String> texts(String key) {
+    public List<String> texts(String key) {
         List<String> result = new ArrayList<>();
         Object value = get(key);
         if (value == null) {
@@ -106,7 +111,7 @@
         throw wrong(key, "a list of texts in quotes");
     }
 
-    <T extends Enum<T>> T choice(String key, T fallback, Class<T> type) {
+    public <T extends Enum<T>> T choice(String key, T fallback, Class<T> type) {
         String words = String.join(", ", Arrays.stream(type.getEnumConstants()).map(Section::word).toList());
         String text = text(key, fallback == null ? null : word(fallback));
         for (T constant : type.getEnumConstants()) {
@@ -121,7 +126,7 @@
         return constant.name().toLowerCase(Locale.ROOT);
     }
 
-    boolean flag(String key, boolean fallback) {
+    public boolean flag(String key, boolean fallback) {
         Object value = get(key);
         if (value == null) {
             return fallback;
@@ -132,7 +137,7 @@
         throw wrong(key, "true or false");
     }
 
-    int count(String key, int fallback, int least, int most) {
+    public int count(String key, int fallback, int least, int most) {
         Object value = get(key);
         if (value == null) {
             return fallback;
@@ -143,7 +148,30 @@
         throw wrong(key, "a whole number from " + least + " to " + most);
     }
 
-    double number(String key, double fallback, double least, double most) {
+    /** Whole numbers in rising order. */
+    public List<Integer> counts(String key, List<Integer> fallback, int least, int most) {
+        Object value = get(key);
+        if (value == null && fallback != null) {
+            return fallback;
+        }
+        List<Integer> result = new ArrayList<>();
+        if (value instanceof TomlArray array && !array.isEmpty()) {
+            for (int i = 0; i < array.size(); i++) {
+                if (!(array.get(i) instanceof Long count) || count < least || count > most
+                    || i > 0 && count <= result.get(i - 1)) {
+                    result.clear();
+                    break;
+                }
+                result.add(count.intValue());
+            }
+        }
+        if (result.isEmpty()) {
+            throw wrong(key, "a rising list of whole numbers from " + least + " to " + most);
+        }
+        return result;
+    }
+
+    public double number(String key, double fallback, double least, double most) {
         Object value = get(key);
         double number = value == null ? fallback : value instanceof Number given ? given.doubleValue()
             : Double.NaN;
@@ -153,7 +181,7 @@
         throw wrong(key, "a number from " + Units.plain(least) + " to " + Units.plain(most));
     }
 
-    Range range(String key, Range fallback, double least, double most) {
+    public Range range(String key, Range fallback, double least, double most) {
         return range(key, fallback, least, most, value -> value instanceof Number number
             ? number.doubleValue()
             : Double.NaN, "a number, or two as [low, high], from " + Units.plain(least) + " to "
@@ -161,7 +189,7 @@
     }
 
     /** A time, in microseconds. */
-    long time(String key, long fallback, long least, long most) {
+    public long time(String key, long fallback, long least, long most) {
         Range range = times(key, Range.of(fallback), least, most);
         if (range.low() != range.high()) {
             throw wrong(key, "one time from " + Units.time(least) + " to " + Units.time(most));
@@ -169,14 +197,14 @@
         return Math.round(range.low());
     }
 
-    Range times(String key, Range fallback, long least, long most) {
+    public Range times(String key, Range fallback, long least, long most) {
         return range(key, fallback, least, most,
             value -> value instanceof String text ? Units.micros(text) : Double.NaN,
             "a time such as \"250ms\", or two as [low, high], from " + Units.time(least) + " to "
             + Units.time(most));
     }
 
-    long bytes(String key, long fallback, long least, long most) {
+    public long bytes(String key, long fallback, long least, long most) {
         Object value = get(key);
         double bytes = value == null ? fallback : value instanceof String text ? Units.bytes(text)
             : Double.NaN;
@@ -208,7 +236,7 @@
     }
 
     /** Refuses what has not been read, as a misspelt key would otherwise be taken for its default. */
-    void done() {
+    public void done() {
         for (String key : table.keySet()) {
             if (!read.contains(key)) {
                 String near =
@@ -221,7 +249,7 @@
         }
     }
 
-    SpecException wrong(String key, String allowed) {
+    public SpecException wrong(String key, String allowed) {
         return new SpecException(at(key) + path + key + " = " + shown(key) + ": allowed is " + allowed);
     }
 
--- /dev/null
+++ b/lab/src/test/java/dockrelay/lab/scale/ScaleRunTest.java
@@ -0,0 +1,110 @@
+package dockrelay.lab.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockrelay.lab.scale.ScaleResult.Refusal;
+import dockrelay.lab.spec.SpecException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Reading a specification, refusing what the machine has no room for, and what a run leaves behind. */
+class ScaleRunTest {
+    private static final Path FILE = Path.of("x.toml");
+    private static final long MEMORY = 1L << 30;
+
+    /** Takes a MiB a unit, and as many processes as its key says; does not know sizes over 400. */
+    private static final class Doubling implements Role {
+        int played;
+
+        @Override
+        public String name() {
+            return "doubling";
+        }
+
+        @Override
+        public Estimate estimate(ScaleSpec spec, int size) {
+            return new Estimate((long) size << 20, spec.own().count("processes", 1, 1, 1000));
+        }
+
+        @Override
+        public List<Figure> play(ScaleSpec spec, int size, int play, Progress progress)
+            throws RefusedException {
+            if (size > 400) {
+                throw new RefusedException(size + " things; allowed are 1 to 400");
+            }
+            played++;
+            return List.of(new Figure(name(), "work", size, "steps", 2.0 * size, "module", play));
+        }
+    }
+
+    private final Doubling role = new Doubling();
+
+    private ScaleSpec spec(String text) {
+        return ScaleSpec.of(FILE, text, role, false);
+    }
+
+    @Test
+    void whatWouldPassHalfOfTheMemoryIsRefusedInOneLineWithTheFigure() {
+        ScaleRun run = new ScaleRun(spec("sizes = [100, 513]"), MEMORY, line -> { });
+        RefusedException refused = assertThrows(RefusedException.class, () -> run.play(Path.of("."), ""));
+        assertEquals("x.toml: doubling at 513 would take 513 MiB; allowed is half of this machine's memory, "
+            + "512 MiB: take smaller sizes", refused.getMessage());
+        assertEquals(0, role.played, "nothing runs first");
+    }
+
+    @Test
+    void tooManyProcessesAreRefused() {
+        ScaleRun run = new ScaleRun(spec("sizes = [100]\n[doubling]\nprocesses = 201"), MEMORY, line -> { });
+        RefusedException refused = assertThrows(RefusedException.class, () -> run.play(Path.of("."), ""));
+        assertEquals("x.toml: doubling at 100 would take 201 processes; allowed are 200: take smaller sizes",
+            refused.getMessage());
+    }
+
+    @Test
+    void keysThatNobodyReadsAndSizesOutOfOrderAreToldInOneLine() {
+        SpecException unknown = assertThrows(SpecException.class, () -> new ScaleRun(
+            spec("sizes = [100]\n[doubling]\nproceses = 2"), MEMORY, line -> { }).check());
+        assertEquals("x.toml:3: unknown key doubling.proceses = 2; did you mean doubling.processes?",
+            unknown.getMessage());
+        SpecException order = assertThrows(SpecException.class, () -> spec("sizes = [400, 100]"));
+        assertEquals("x.toml:1: sizes = [ 400, 100 ]: allowed is a rising list of whole numbers "
+            + "from 1 to 1000000",
+            order.getMessage());
+    }
+
+    @Test
+    void theResultHoldsFiguresFitsAndWhatWasRefusedAndIsReadBackAlike(@TempDir Path folder) throws Exception {
+        List<String> lines = new ArrayList<>();
+        ScaleResult result = new ScaleRun(spec("sizes = [50, 100, 200, 400, 401]\nplays = 2\nseed = 7"),
+            MEMORY, lines::add).play(Path.of("."), "beside nothing");
+        assertEquals(8, result.figures().size());
+        assertEquals(List.of(new Refusal("doubling", 401, "401 things; allowed are 1 to 400")),
+            result.refused());
+        assertEquals(Fit.LINEAR, result.slopes().get(0).fit().grows());
+        assertFalse(lines.isEmpty());
+        Path file = folder.resolve("scale.json");
+        result.write(file);
+        ScaleResult again = ScaleResult.read(file);
+        assertEquals(result.figures(), again.figures());
+        assertEquals(result.slopes(), again.slopes());
+        assertEquals(Tables.markdown(List.of(result)), Tables.markdown(List.of(again)));
+        String text = Files.readString(file);
+        assertFalse(text.contains(System.getProperty("user.dir")) || text.contains(System.getProperty(
+            "user.home")), "no paths");
+    }
+
+    @Test
+    void aQuickRunPlaysItsOwnSizesOnce() {
+        ScaleSpec quick = ScaleSpec.of(FILE, "sizes = [1, 2, 3]\nquick_sizes = [5]\nplays = 3", role, true);
+        assertEquals(List.of(5), quick.sizes());
+        assertEquals(1, quick.plays());
+        assertTrue(quick.quick());
+    }
+}
