--- a/lab/src/main/java/dockrelay/lab/scale/Source.java
+++ b/lab/src/main/java/dockrelay/lab/scale/Source.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
-/** Which code a run was of: the commit, whether files differ from it, and the hash of each module's folder. */
+/** Which code a run was of: the commit, whether files differ from it, and the hash of each module's tree. */
 final class Source {
     private static final List<String> MODULES = List.of("decision", "fleet", "settings", "proxy",
         "lab/src/main");
