Add hollow proxies to the scale runs: virtual network, and sockets beside real ones

Change: role members. Hollow members are the fleet's machines: over a virtual network on one event queue (one seed, same bytes), or each with a socket on loopback, with four processes of the program beside them, asked at their consoles. The machine is behind HollowMember; today's is FlatMember. A size that it refuses is noted as refused.

--- a/lab/src/main/java/dockrelay/lab/scale/Roles.java
+++ b/lab/src/main/java/dockrelay/lab/scale/Roles.java
@@ -1,10 +1,12 @@
 package dockrelay.lab.scale;
 
+import dockrelay.lab.scale.members.MembersRole;
 import java.util.List;
 
 /** The roles that there are. */
 public final class Roles {
     private static final List<Role> ALL = List.of(
+        new MembersRole()
     );
 
     private Roles() {
--- /dev/null
+++ b/lab/src/main/java/dockrelay/lab/scale/members/MembersRole.java
@@ -0,0 +1,144 @@
+package dockrelay.lab.scale.members;
+
+import dockrelay.lab.scale.Estimate;
+import dockrelay.lab.scale.Figure;
+import dockrelay.lab.scale.Progress;
+import dockrelay.lab.scale.RefusedException;
+import dockrelay.lab.scale.Role;
+import dockrelay.lab.scale.ScaleSpec;
+import dockrelay.lab.spec.Section;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+/** Hollow proxies: the machine that knows who is there, many to a process, over a virtual network. */
+public final class MembersRole implements Role {
+    private static final List<HollowMember.Kind> KINDS = List.of(FlatMember.KIND);
+    private static final long SECOND = VirtualFleet.SECOND;
+    private static final int MOST_THREADS = 8, MOST_DEATHS = 100;
+    /** What one holds at the most, by probes: of itself, and of each whom it knows singly. */
+    private static final long BYTES_OF_ONE = 60_000, BYTES_EACH = 500, BYTES_OF_PROXY = 192L << 20;
+
+    @Override
+    public String name() {
+        return "members";
+    }
+
+    private static HollowMember.Kind kind(ScaleSpec spec) {
+        String word = spec.own().text("machine", KINDS.get(KINDS.size() - 1).name());
+        return KINDS.stream().filter(kind -> kind.name().equals(word)).findFirst().orElseThrow(
+            () -> spec.own().wrong("machine", "one of " + String.join(", ", KINDS.stream()
+                .map(HollowMember.Kind::name).toList())));
+    }
+
+    private static int threads(ScaleSpec spec) {
+        return spec.own().count("threads", 2, 1, MOST_THREADS);
+    }
+
+    private static int proxies(ScaleSpec spec) {
+        return spec.own().count("proxies", 4, 4, 20);
+    }
+
+    /** Sockets and processes, by the clock, or the virtual network. */
+    private static boolean real(ScaleSpec spec) {
+        String word = spec.own().text("network", "virtual");
+        if (!word.equals("virtual") && !word.equals("loopback")) {
+            throw spec.own().wrong("network", "one of virtual, loopback");
+        }
+        return word.equals("loopback");
+    }
+
+    private static Map<String, Long> numbers(ScaleSpec spec) {
+        Section own = spec.own();
+        long hour = 3_600 * SECOND;
+        Map<String, Long> result = new LinkedHashMap<>();
+        result.put("warm", own.time("warm", 30 * SECOND, 10 * SECOND, hour));
+        result.put("quiet", own.time("quiet", 30 * SECOND, 10 * SECOND, hour));
+        result.put("gap", own.time("gap", 12 * SECOND, 5 * SECOND, hour));
+        result.put("look", own.time("look", 30 * SECOND, 10 * SECOND, hour));
+        result.put("cut_for", own.time("cut_for", 180 * SECOND, 10 * SECOND, hour));
+        result.put("loss_for", own.time("loss_for", 120 * SECOND, 10 * SECOND, hour));
+        result.put("long_up_to", (long) own.count("long_up_to", 1_000_000, 1, 1_000_000));
+        result.put("deaths", (long) own.count("deaths", 5, 1, MOST_DEATHS));
+        return result;
+    }
+
+    private static List<Scenario> scenarios(ScaleSpec spec) {
+        List<String> words = spec.own().texts("scenarios");
+        List<Scenario> result = Arrays.stream(Scenario.values())
+            .filter(one -> words.isEmpty() || words.contains(one.word())).toList();
+        if (result.size() != words.size() && !words.isEmpty()) {
+            throw spec.own().wrong("scenarios", "some of " + String.join(", ",
+                Arrays.stream(Scenario.values()).map(Scenario::word).toList()));
+        }
+        return result;
+    }
+
+    @Override
+    public Estimate estimate(ScaleSpec spec, int size) {
+        HollowMember.Kind kind = kind(spec);
+        numbers(spec);
+        scenarios(spec);
+        boolean real = real(spec);
+        int proxies = proxies(spec), threads = threads(spec);
+        int known = kind == FlatMember.KIND ? size : Math.min(size, 200);
+        long each = size * (BYTES_OF_ONE + BYTES_EACH * known);
+        return real ? new Estimate(each + proxies * BYTES_OF_PROXY, 1 + proxies)
+            : new Estimate(threads * each, 1);
+    }
+
+    @Override
+    public List<Figure> play(ScaleSpec spec, int size, int play, Progress progress) throws Exception {
+        HollowMember.Kind kind = kind(spec);
+        Layout layout = Layout.of(size);
+        String refused = kind.refuses(layout);
+        if (refused != null) {
+            throw new RefusedException(refused);
+        }
+        if (real(spec)) {
+            Figures figures = new Figures(name(), size, "real", play);
+            new RealPlay(kind, size, numbers(spec), proxies(spec), threads(spec), spec.seed() + play,
+                Path.of(System.getProperty("stoatreel.root", ".")), figures).play();
+            return figures.all();
+        }
+        Figures all = new Figures(name(), size, "virtual", play);
+        List<Scenario> scenarios = new ArrayList<>(scenarios(spec));
+        if (size > numbers(spec).get("long_up_to")) {
+            scenarios.removeAll(List.of(Scenario.REGION, Scenario.LOSS, Scenario.BUSY));
+        }
+        if (scenarios.remove(Scenario.QUIET)) { // first and alone: what it holds is measured
+            all.addAll(one(spec, kind, layout, Scenario.QUIET, size, play, progress));
+        }
+        ExecutorService threads = Executors.newFixedThreadPool(threads(spec));
+        try {
+            List<Future<List<Figure>>> each = new ArrayList<>();
+            for (Scenario scenario : scenarios) {
+                each.add(threads.submit(() -> one(spec, kind, layout, scenario, size, play, progress)));
+            }
+            for (Future<List<Figure>> one : each) {
+                all.addAll(one.get());
+            }
+        } finally {
+            threads.shutdownNow();
+        }
+        return all.all();
+    }
+
+    private List<Figure> one(ScaleSpec spec, HollowMember.Kind kind, Layout layout, Scenario scenario,
+                             int size, int play, Progress progress) {
+        long began = System.nanoTime();
+        Figures figures = new Figures(name(), size, "virtual", play);
+        scenario.play(new Play(kind, layout, numbers(spec), spec.seed() * 1_000 + play * 10L
+            + scenario.ordinal(), scenario == Scenario.QUIET), figures);
+        progress.line(String.format(Locale.ROOT, "members %d: %s took %.1f s", size, scenario.word(),
+            (System.nanoTime() - began) / 1e9));
+        return figures.all();
+    }
+}
