Let a size that the machine refuses take nothing in the estimate

Seen: members-before.toml was refused as a whole, as 5,700 flat members would take 31 GB; they are never started, since the list of names refuses them first.

--- a/lab/src/main/java/dockrelay/lab/scale/members/MembersRole.java
+++ b/lab/src/main/java/dockrelay/lab/scale/members/MembersRole.java
@@ -88,6 +88,9 @@
         scenarios(spec);
         boolean real = real(spec);
         int proxies = proxies(spec), threads = threads(spec);
+        if (kind.refuses(Layout.of(size)) != null) {
+            return new Estimate(0, 1); // nothing will be started
+        }
         int known = kind == FlatMember.KIND ? size : Math.min(size, 200);
         long each = size * (BYTES_OF_ONE + BYTES_EACH * known);
         return real ? new Estimate(each + proxies * BYTES_OF_PROXY, 1 + proxies)
