Add budgets to the scale runs, and a test that a flat membership is seen to grow

Change: role budgets: the fleet's machine with one who spends all that he gets, over the same virtual network; a size at which no keeper is agreed on is noted as refused. SlopesTest measures what a member keeps and sends at 96, 192 and 384 names: for one flat membership it has to find the growth, so that flat lines of other machines prove something.

--- a/lab/src/main/java/dockrelay/lab/scale/Roles.java
+++ b/lab/src/main/java/dockrelay/lab/scale/Roles.java
@@ -1,12 +1,14 @@
 package dockrelay.lab.scale;
 
+import dockrelay.lab.scale.members.BudgetsRole;
 import dockrelay.lab.scale.members.MembersRole;
 import java.util.List;
 
 /** The roles that there are. */
 public final class Roles {
     private static final List<Role> ALL = List.of(
-        new MembersRole()
+        new MembersRole(),
+        new BudgetsRole()
     );
 
     private Roles() {
--- a/lab/src/main/java/dockrelay/lab/scale/members/FlatMember.java
+++ b/lab/src/main/java/dockrelay/lab/scale/members/FlatMember.java
@@ -97,6 +97,11 @@
         return machine.digest();
     }
 
+    @Override
+    public int known(long now) {
+        return machine.rows(now).size();
+    }
+
     @Override
     public void leave(long now) {
         machine.leave(now);
--- a/lab/src/main/java/dockrelay/lab/scale/members/HollowMember.java
+++ b/lab/src/main/java/dockrelay/lab/scale/members/HollowMember.java
@@ -1,25 +1,17 @@
 package dockrelay.lab.scale.members;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import dockrelay.fleet.Change;
 import dockrelay.fleet.Standing;
-import java.nio.ByteBuffer;
 import java.util.Random;
 
-/** The machine that a proxy plays to know who is there, whichever it is. Times are in microseconds. */
-interface HollowMember {
-    /** What it does. */
-    interface Actions {
-        void send(String to, ByteBuffer datagram);
-
-        void changed(Change change);
-    }
-
+/** The machine that a proxy plays to know who is there, whichever it is. */
+interface HollowMember extends HollowMachine {
     /** One kind of machine. */
-    interface Kind {
+    interface Kind extends Maker {
         /** As a specification names it. */
         String name();
 
+        @Override
         HollowMember make(String self, Layout layout, long incarnation, Random random, Actions actions,
                           long now);
 
@@ -33,18 +25,11 @@
         String refuses(Layout layout);
     }
 
-    long nextAt();
-
-    void tick(long now);
-
-    void receive(long now, String from, ByteBuffer datagram);
-
     Standing standing(long now);
 
     /** Equal where two see the same. */
     String digest();
 
-    void leave(long now);
-
-    void configure(long now, Layout layout);
+    /** Of how many names it keeps something singly. */
+    int known(long now);
 }
--- a/lab/src/main/java/dockrelay/lab/scale/members/Layout.java
+++ b/lab/src/main/java/dockrelay/lab/scale/members/Layout.java
@@ -42,6 +42,11 @@
         return new Layout(zones);
     }
 
+    /** These zones as they are. */
+    static Layout of(Map<String, List<String>> zones) {
+        return new Layout(zones);
+    }
+
     /** The same without these names, and with so many new ones in turns over the zones. */
     Layout changed(List<String> less, int more) {
         Map<String, List<String>> next = new LinkedHashMap<>();
--- a/lab/src/main/java/dockrelay/lab/scale/members/VirtualFleet.java
+++ b/lab/src/main/java/dockrelay/lab/scale/members/VirtualFleet.java
@@ -52,17 +52,17 @@
     }
 
     /** One process of a name, with a clock of its own. */
-    private final class Process implements HollowMember.Actions {
+    private final class Process implements HollowMachine.Actions {
         final int index;
         final double rate = 1 + (random.nextDouble() - 0.5) * RATES;
         final long offset = (long) (random.nextDouble() * OFFSETS), startedAt = now, first;
-        final HollowMember machine;
+        final HollowMachine machine;
         long wakeAt = Long.MAX_VALUE;
 
         Process(int index, Layout layout) {
             this.index = index;
             this.first = incarnations[index] += STEP_OF_INCARNATION;
-            this.machine = kind.make(name(index), layout, first, new Random(random.nextLong()), this,
+            this.machine = maker.make(name(index), layout, first, new Random(random.nextLong()), this,
                 local());
         }
 
@@ -121,7 +121,7 @@
     }
 
     final Random random;
-    private final HollowMember.Kind kind;
+    private final HollowMachine.Maker maker;
     private final Map<String, Integer> indexes = new HashMap<>();
     private final List<String> names = new ArrayList<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at != b.at
@@ -136,8 +136,8 @@
     private int longest;
 
     /** Room is left for names that come later. */
-    VirtualFleet(HollowMember.Kind kind, Layout layout, int room, long seed) {
-        this.kind = kind;
+    VirtualFleet(HollowMachine.Maker maker, Layout layout, int room, long seed) {
+        this.maker = maker;
         this.random = new Random(seed);
         int most = layout.size() + room;
         processes = new Process[most];
@@ -242,7 +242,17 @@
 
     Standing standing(int index) {
         Process process = processes[index];
-        return process.machine.standing(process.local());
+        return ((HollowMember) process.machine).standing(process.local());
+    }
+
+    /** What a process of this name plays; null where none lives. */
+    HollowMachine machine(int index) {
+        return processes[index] == null ? null : processes[index].machine;
+    }
+
+    /** What this process's own clock says. */
+    long local(int index) {
+        return processes[index].local();
     }
 
     /** Datagrams pass between members of the same side only. */
