--- a/lab/src/main/java/dockrelay/lab/scale/members/BusyDay.java
+++ b/lab/src/main/java/dockrelay/lab/scale/members/BusyDay.java
@@ -28,7 +28,8 @@
     private final Layout[] lists;
     private final long zero, every;
     private Layout layout;
-    private int restarts;
+    private int restarts, counted;
+    private long countedAt = -1;
 
     BusyDay(Play play, VirtualFleet fleet, Figures figures) {
         this.fleet = fleet;
@@ -73,7 +74,11 @@
     }
 
     private boolean nearly(int member) {
-        return Math.abs(fleet.standing(member).members() - Scenario.living(fleet)) <= UNDER_WAY;
+        if (countedAt != fleet.now()) {
+            countedAt = fleet.now();
+            counted = Scenario.living(fleet);
+        }
+        return Math.abs(fleet.standing(member).members() - counted) <= UNDER_WAY;
     }
 
     private void restart() {
--- a/lab/src/main/java/dockrelay/lab/scale/members/MembersRole.java
+++ b/lab/src/main/java/dockrelay/lab/scale/members/MembersRole.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -20,7 +21,9 @@
 
 /** Hollow proxies: the machine that knows who is there, many to a process, over a virtual network. */
 public final class MembersRole implements Role {
-    private static final List<HollowMember.Kind> KINDS = List.of(FlatMember.KIND);
+    private static final List<HollowMember.Kind> KINDS = List.of(FlatMember.KIND, GroupMember.KIND);
+    /** They take minutes of the fleet's time. */
+    private static final List<Scenario> LONGEST = List.of(Scenario.REGION, Scenario.LOSS, Scenario.BUSY);
     private static final long SECOND = VirtualFleet.SECOND;
     private static final int MOST_THREADS = 8, MOST_DEATHS = 100;
     /** What one holds at the most, by probes: of itself, and of each whom it knows singly. */
@@ -65,6 +68,7 @@
         result.put("look", own.time("look", 30 * SECOND, 10 * SECOND, hour));
         result.put("cut_for", own.time("cut_for", 180 * SECOND, 10 * SECOND, hour));
         result.put("loss_for", own.time("loss_for", 120 * SECOND, 10 * SECOND, hour));
+        result.put("loss_member_minutes", (long) own.count("loss_member_minutes", 1_000_000, 1, 1_000_000));
         result.put("long_up_to", (long) own.count("long_up_to", 1_000_000, 1, 1_000_000));
         result.put("deaths", (long) own.count("deaths", 5, 1, MOST_DEATHS));
         return result;
@@ -114,11 +118,12 @@
         Figures all = new Figures(name(), size, "virtual", play);
         List<Scenario> scenarios = new ArrayList<>(scenarios(spec));
         if (size > numbers(spec).get("long_up_to")) {
-            scenarios.removeAll(List.of(Scenario.REGION, Scenario.LOSS, Scenario.BUSY));
+            scenarios.removeAll(LONGEST);
         }
         if (scenarios.remove(Scenario.QUIET)) { // first and alone: what it holds is measured
             all.addAll(one(spec, kind, layout, Scenario.QUIET, size, play, progress));
         }
+        scenarios.sort(Comparator.comparing(scenario -> !LONGEST.contains(scenario)));
         ExecutorService threads = Executors.newFixedThreadPool(threads(spec));
         try {
             List<Future<List<Figure>>> each = new ArrayList<>();
--- a/lab/src/main/java/dockrelay/lab/scale/members/Scenario.java
+++ b/lab/src/main/java/dockrelay/lab/scale/members/Scenario.java
@@ -148,7 +148,9 @@
         void play(Play play, Figures figures) {
             VirtualFleet fleet = play.warm(0);
             fleet.lose(LOSS_SHARE);
-            long lasts = play.time("loss_for"), before = fleet.falseDeaths();
+            long lasts = Math.min(play.time("loss_for"), play.time("loss_member_minutes") * 60
+                * VirtualFleet.SECOND / fleet.count());
+            long before = fleet.falseDeaths();
             fleet.runUntil(fleet.now() + lasts);
             figures.add("false deaths at 1% loss", "deaths", fleet.falseDeaths() - before);
             figures.add("member-minutes at 1% loss", "min", (double) lasts / VirtualFleet.SECOND / 60
