--- a/fleet/src/main/java/dockrelay/fleet/Membership.java
+++ b/fleet/src/main/java/dockrelay/fleet/Membership.java
@@ -439,6 +439,30 @@
         }
     }
 
+    /**
+     * What came from a name that is not on this list but has this member on its own: it is told that this one
+     * lives, and nothing that it says is taken but what it says of this one.
+     */
+    public void answerForeign(long now, String from, ByteBuffer datagram) {
+        stall(now);
+        try {
+            Datagram.Read read = Datagram.read(datagram);
+            Head head = read.head();
+            if (head.sender() != Roster.id(from)) {
+                refused.merge(Refusal.MISNAMED, 1L, Long::sum);
+            } else if (head.kind() == Kind.PING) {
+                if (head.to() == life) {
+                    read.entries().stream().filter(entry -> entry.id() == me.id)
+                        .forEach(entry -> counter(now, entry));
+                }
+                actions.send(from, new Datagram(new Head(Kind.ACK, me.id, me.incarnation, life, head.life(),
+                    left, view, head.sequence(), 0)).done());
+            }
+        } catch (Datagram.Unreadable e) {
+            refused.merge(e.refusal, 1L, Long::sum);
+        }
+    }
+
     /** A member speaks for itself; who is not held present has to have answered to be. */
     private void introduce(long now, Member sender, Head head, boolean fresh) {
         boolean newer = head.incarnation() > sender.incarnation;
@@ -710,7 +734,13 @@
         return String.format("%08x", view);
     }
 
-    State state(String name) {
+    /** The same as a number. */
+    public int view() {
+        return view;
+    }
+
+    /** What is held of a member. */
+    public State state(String name) {
         return members.get(roster.index(name)).state;
     }
 
--- /dev/null
+++ b/fleet/src/main/java/dockrelay/fleet/group/Between.java
@@ -0,0 +1,221 @@
+package dockrelay.fleet.group;
+
+import dockrelay.fleet.Membership;
+import dockrelay.fleet.Pace;
+import dockrelay.fleet.Roster;
+import dockrelay.fleet.Row;
+import dockrelay.fleet.Standing;
+import dockrelay.fleet.State;
+import dockrelay.fleet.group.Message.Kind;
+import dockrelay.fleet.group.Message.Refusal;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/** All that goes on between the groups of one list, as one member sees it; its parts share this. */
+final class Between {
+    final Groups groups;
+    final String self;
+    final Grouping grouping;
+    final int own;
+    final Membership members;
+    final Rhythm rhythm;
+    final Random random;
+    final Table table;
+    final Questions questions;
+    final Speakers speakers;
+    final Silence silence;
+    final Count count;
+    final GroupAsker asker;
+    final TableAsker tables;
+    private final Groups.Actions actions;
+    private final Finder finder;
+    private final int id;
+    private final Map<Refusal, Long> refused = new EnumMap<>(Refusal.class);
+    private long nextAt;
+
+    Between(Groups groups, String self, Grouping grouping, Membership members, Pace pace, Random random,
+            Groups.Actions actions, long now) {
+        this.groups = groups;
+        this.self = self;
+        this.id = Roster.id(self);
+        this.grouping = grouping;
+        this.own = grouping.groupOf(self);
+        this.members = members;
+        this.rhythm = new Rhythm(pace);
+        this.random = random;
+        this.actions = actions;
+        this.table = new Table(grouping, rhythm, now);
+        this.questions = new Questions(rhythm, random);
+        this.speakers = new Speakers(members, self, grouping.names(own));
+        this.silence = new Silence(this, now);
+        this.count = new Count(this);
+        this.asker = new GroupAsker(this);
+        this.tables = new TableAsker(this, now, random.nextInt() | 1);
+        this.finder = new Finder(this);
+        this.nextAt = now;
+    }
+
+    // --- time
+
+    long nextAt() {
+        return nextAt;
+    }
+
+    void tick(long now) {
+        awake(now);
+        for (Question failed = questions.failed(now); failed != null; failed = questions.failed(now)) {
+            switch (failed.kind) {
+                case ASK_GROUP -> asker.failed(now, failed);
+                case ASK_TABLE -> tables.failed(now);
+                default -> finder.failed(now, failed);
+            }
+        }
+        rest(now);
+    }
+
+    private void rest(long now) {
+        boolean speaks = speaker();
+        silence.speaking(now, speaks);
+        long due = Math.min(tables.tick(now), asker.tick(now));
+        nextAt = Math.min(due, questions.nextAt());
+    }
+
+    /** After a stop nobody's silence counts for the time of it. */
+    private void awake(long now) {
+        long late = now - nextAt;
+        if (late >= rhythm.retry() / 4) {
+            questions.delay(late);
+            nextAt = now;
+            if (late >= rhythm.retry()) {
+                silence.woken(now);
+            }
+        }
+    }
+
+    // --- datagrams
+
+    Writer writer(Kind kind, int sequence) {
+        return new Writer(kind, id, grouping.hash(), sequence);
+    }
+
+    void send(String to, Writer datagram) {
+        actions.send(to, datagram.done());
+    }
+
+    void receive(long now, String from, ByteBuffer datagram) {
+        awake(now);
+        Message message;
+        try {
+            message = Message.read(datagram);
+        } catch (Message.Unreadable e) {
+            refused.merge(e.refusal, 1L, Long::sum);
+            return;
+        }
+        if (from == null || from.equals(self) || grouping.groupOf(from) < 0) {
+            refused.merge(Refusal.STRANGER, 1L, Long::sum);
+        } else if (message.sender != Roster.id(from)) {
+            refused.merge(Refusal.MISNAMED, 1L, Long::sum);
+        } else {
+            take(now, from, message);
+            rest(now);
+        }
+    }
+
+    private void take(long now, String from, Message message) {
+        switch (message.kind) {
+            case ASK_GROUP -> asker.answer(now, from, message);
+            case ASK_TABLE -> tables.answer(now, from, message);
+            case ASK_NAME -> finder.answer(now, from, message);
+            case TELL_GROUP -> {
+                Question question = questions.answered(message.sequence, from, Kind.ASK_GROUP);
+                if (question != null) {
+                    asker.told(now, question, message);
+                }
+            }
+            case TELL_TABLE -> {
+                Question question = questions.answered(message.sequence, from, Kind.ASK_TABLE);
+                if (question != null) {
+                    tables.told(now, question, message);
+                }
+            }
+            default -> {
+                Question question = questions.answered(message.sequence, from, Kind.ASK_NAME);
+                if (question != null) {
+                    finder.told(now, question, message);
+                }
+            }
+        }
+    }
+
+    void hear(long now, Summary told, long age) {
+        int group = grouping.group(told.key());
+        if (group >= 0 && group != own) {
+            table.hear(now, groups.taken(table.summary(group), table.age(now, group), told), age);
+        }
+    }
+
+    // --- the own group
+
+    /** Whether this member speaks for its group. */
+    boolean speaker() {
+        return members.state(self) == State.PRESENT && speakers.mine();
+    }
+
+    /** One that was not heard by any other member yet has nothing to say of its group. */
+    boolean joined() {
+        return members.state(self) != State.JOINING;
+    }
+
+    int present(long now) {
+        return members.standing(now).present();
+    }
+
+    int left(long now) {
+        return count(State.LEFT);
+    }
+
+    private int count(State state) {
+        return (int) grouping.names(own).stream().filter(name -> members.state(name) == state).count();
+    }
+
+    Summary summary(long now) {
+        Standing standing = members.standing(now);
+        return new Summary(grouping.key(own), grouping.hash(), grouping.hash(own), members.view(),
+            standing.present(), count(State.LEFT), count(State.GONE), standing.members(),
+            standing.agreement(), standing.agreeing(), speakers.ids(), id);
+    }
+
+    // --- what it comes to
+
+    Standing standing(long now) {
+        return count.standing(now, members.standing(now));
+    }
+
+    List<GroupRow> rows(long now) {
+        List<GroupRow> result = new ArrayList<>();
+        for (int group = 0; group < grouping.groups(); group++) {
+            result.add(group == own ? count.ownRow(now, summary(now)) : count.row(now, group));
+        }
+        return result;
+    }
+
+    void find(long now, String name) {
+        finder.find(now, name);
+        rest(now);
+    }
+
+    void found(String name, Row row) {
+        actions.found(name, row);
+    }
+
+    /** Datagrams that were not taken, by reason, since the last call. */
+    void refused(Map<String, Long> into) {
+        refused.forEach((reason, times) -> into.merge(reason.name().toLowerCase(java.util.Locale.ROOT), times,
+            Long::sum));
+        refused.clear();
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/dockrelay/fleet/group/Count.java
@@ -0,0 +1,100 @@
+package dockrelay.fleet.group;
+
+import dockrelay.fleet.Standing;
+import dockrelay.fleet.Standing.Agreement;
+
+/** What the table comes to: how many of the fleet count as there, which of them this one is, who agrees. */
+final class Count {
+    private final Between here;
+
+    Count(Between here) {
+        this.here = here;
+    }
+
+    /** Whether what a group said last still counts. */
+    boolean fresh(long now, int group) {
+        return here.table.summary(group) != null && here.groups.fresh(here.table.age(now, group));
+    }
+
+    /** Whether most hear nothing of a group, and neither does this member. */
+    boolean out(long now, int group) {
+        return group != here.own && here.table.quiet(now, group) > here.rhythm.silent() && marked(now, group);
+    }
+
+    boolean marked(long now, int group) {
+        return here.silence.agreed(now, group) || here.tables.marked(now, group);
+    }
+
+    private boolean sameNames(int group) {
+        return here.groups.sameNames(here.table.summary(group).hash(), here.grouping.hash(group));
+    }
+
+    /** How many of a group's names count as there. A group by another list than this one has all of them. */
+    int counted(long now, int group) {
+        int names = here.grouping.names(group).size();
+        return out(now, group) ? 0 : fresh(now, group) && sameNames(group)
+            ? here.groups.counted(here.table.summary(group), names) : names;
+    }
+
+    /** How many said goodbye, as far as that is known: what is most of the others goes by it. */
+    int left(long now) {
+        int left = here.left(now);
+        for (int group = 0; group < here.grouping.groups(); group++) {
+            Summary of = group == here.own ? null : here.table.summary(group);
+            left += of != null && of.hash() == here.grouping.hash(group) ? of.left() : 0;
+        }
+        return left;
+    }
+
+    Standing standing(long now, Standing in) {
+        int groups = here.grouping.groups(), size = here.grouping.size();
+        int counted = 0, me = 0, present = 0, agreeing = 0;
+        long age = 0;
+        boolean all = in.agreement() == Agreement.ALL;
+        for (int group = 0; group < groups; group++) {
+            if (group == here.own) {
+                me = counted + in.me();
+                counted += in.members();
+                present += in.present();
+                agreeing += in.agreeing();
+                continue;
+            }
+            counted += counted(now, group);
+            if (out(now, group)) {
+                continue;
+            }
+            age = Math.max(age, here.table.unsure(now, group));
+            Summary of = here.table.summary(group);
+            boolean fresh = fresh(now, group), alike = fresh && of.list() == here.grouping.hash();
+            present += fresh && sameNames(group) ? of.present() : 0;
+            agreeing += alike ? of.agreeing() : 0;
+            all &= alike && sameNames(group) && of.agreement() == Agreement.ALL;
+        }
+        Agreement agreement = 2 * present <= size - left(now) ? Agreement.MINORITY
+            : all ? Agreement.ALL : Agreement.MAJORITY;
+        double part = (double) here.grouping.names(here.own).size() / size;
+        return new Standing(Math.max(1, counted), me, part * in.share(), part * in.leastShare(), agreement,
+            agreeing, present, size, age);
+    }
+
+    GroupRow row(long now, int group) {
+        Summary of = here.table.summary(group);
+        int names = here.grouping.names(group).size();
+        boolean fresh = fresh(now, group), same = of == null || of.list() == here.grouping.hash();
+        if (of == null) {
+            return new GroupRow(here.grouping.label(group), names, 0, 0, 0, counted(now, group),
+                Agreement.MINORITY, -1, false, true, null);
+        }
+        int first = here.grouping.roster(group).index(of.first());
+        return new GroupRow(here.grouping.label(group), names, of.present(), of.left(), of.gone(),
+            counted(now, group), of.agreement(), here.table.age(now, group), fresh, same,
+            first < 0 ? null : here.grouping.names(group).get(first));
+    }
+
+    GroupRow ownRow(long now, Summary of) {
+        int first = here.grouping.roster(here.own).index(of.first());
+        return new GroupRow(here.grouping.label(here.own), here.grouping.names(here.own).size(), of.present(),
+            of.left(), of.gone(), of.counted(), of.agreement(), 0, true, true,
+            first < 0 ? null : here.grouping.names(here.own).get(first));
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/dockrelay/fleet/group/GroupAsker.java
@@ -0,0 +1,155 @@
+package dockrelay.fleet.group;
+
+import dockrelay.fleet.group.Message.Aged;
+import dockrelay.fleet.group.Message.Kind;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+/**
+ * A speaker's questions to other groups: each speaker asks its part of them, once a round and out of step,
+ * and all speakers ask for those that are late. One of the other's speakers is asked; its other names where
+ * none is known or none answers.
+ */
+final class GroupAsker {
+    private static final int MOST_MISSING = 8, AT_A_TIME = 4;
+    /** After so many questions in vain a group is silent; it is asked on, but not at once. */
+    private static final int VAIN = 8;
+
+    private final Between here;
+    private final long[] dueAt;
+    private boolean asks;
+    private final int[] tries, asked, from; // in vain; since it answered; where among its names
+
+    GroupAsker(Between here) {
+        this.here = here;
+        this.dueAt = new long[here.grouping.groups()];
+        this.tries = new int[dueAt.length];
+        this.asked = new int[dueAt.length];
+        this.from = new int[dueAt.length];
+        java.util.Arrays.fill(dueAt, Long.MAX_VALUE);
+    }
+
+    /** Asks what is due; returns when the next one is. */
+    long tick(long now) {
+        long next = Long.MAX_VALUE;
+        boolean speaker = here.speaker(), idle = !speaker && !asks;
+        asks = speaker;
+        if (idle) {
+            return next;
+        }
+        for (int group = 0; group < dueAt.length; group++) {
+            if (!speaker || group == here.own || !mine(now, group)) {
+                dueAt[group] = Long.MAX_VALUE;
+                continue;
+            }
+            if (dueAt[group] == Long.MAX_VALUE) { // one more: soon, but not all at a time
+                boolean late = here.table.unsure(now, group) > here.rhythm.late();
+                dueAt[group] = now + (long) (here.random.nextDouble() * (late ? here.rhythm.retry() / 4
+                    : here.rhythm.round()));
+                tries[group] = 0;
+                asked[group] = 0;
+            }
+            if (now >= dueAt[group]) {
+                ask(now, group);
+            }
+            next = Math.min(next, dueAt[group]);
+        }
+        return next;
+    }
+
+    private boolean mine(long now, int group) {
+        return here.self.equals(here.speakers.asking(here.grouping.key(group)))
+            || here.table.unsure(now, group) > here.rhythm.late();
+    }
+
+    /** Whether a group was asked in vain so often, since it answered, that it is no speaker's loss. */
+    boolean vain(int group) {
+        return tries[group] >= VAIN;
+    }
+
+    /** One is asked; several at a time where the group has been heard of by nobody here for long. */
+    private void ask(long now, int group) {
+        dueAt[group] = now + (long) (here.rhythm.round() * (0.95 + 0.1 * here.random.nextDouble()));
+        boolean late = here.table.unsure(now, group) > here.rhythm.late();
+        List<Integer> missing = missing(now);
+        for (int i = late && tries[group] < VAIN ? AT_A_TIME : 1; i > 0; i--) {
+            String to = target(group);
+            Question question = here.questions.ask(now, Kind.ASK_GROUP, to, group, null);
+            here.send(to, here.writer(Kind.ASK_GROUP, question.sequence).asked(here.grouping.key(group))
+                .missing(missing));
+        }
+    }
+
+    /** Those known to speak for the group, one after the other; then all its names. */
+    private String target(int group) {
+        List<String> names = here.grouping.names(group);
+        Summary held = here.table.summary(group);
+        int known = held == null ? 0 : held.speakers().length, position = asked[group]++;
+        if (position == 0) {
+            from[group] = here.random.nextInt(names.size());
+        }
+        // A minority's speakers know of no others: the majority has to be come upon.
+        if (position < known && !(held.minority() && here.random.nextBoolean())) {
+            int spread = Math.floorMod(Grouping.mixed(here.grouping.key(here.own) + 31L * held.key()), known);
+            int index = here.grouping.roster(group).index(held.speakers()[(spread + position) % known]);
+            if (index >= 0) {
+                return here.groups.speaker(group, names.get(index));
+            }
+        }
+        return here.groups.speaker(group, names.get((from[group] + position) % names.size()));
+    }
+
+    /** Some of the silent ones: another group may hear them. */
+    private List<Integer> missing(long now) {
+        List<Integer> silent = new ArrayList<>();
+        for (int group = 0; group < dueAt.length; group++) {
+            if (here.silence.of(now, group) && !here.silence.agreed(now, group)) {
+                silent.add(here.grouping.key(group));
+            }
+        }
+        Collections.shuffle(silent, here.random);
+        return silent.subList(0, Math.min(MOST_MISSING, silent.size()));
+    }
+
+    /** Others are asked at once, until there have been so many. */
+    void failed(long now, Question question) {
+        int group = question.group;
+        if (++tries[group] < VAIN && dueAt[group] != Long.MAX_VALUE) {
+            dueAt[group] = now;
+        }
+    }
+
+    /** What a member of another group says of it. */
+    void answer(long now, String from, Message asked) {
+        if (here.joined()) {
+            List<Aged> relayed = new ArrayList<>();
+            for (int key : asked.missing) {
+                int group = here.grouping.group(key);
+                if (group >= 0 && group != here.own && here.table.summary(group) != null
+                    && here.table.age(now, group) <= here.rhythm.silent()) {
+                    relayed.add(new Aged(here.table.summary(group), here.table.age(now, group)));
+                }
+            }
+            here.send(from, here.writer(Kind.TELL_GROUP, asked.sequence).summary(here.summary(now))
+                .silent(asked.list == here.grouping.hash() ? here.silence.said(now) : null).relayed(relayed));
+        }
+    }
+
+    void told(long now, Question question, Message told) {
+        if (told.summary == null) {
+            return;
+        }
+        tries[question.group] = 0;
+        asked[question.group] = 0;
+        long trip = now - question.at;
+        here.hear(now, told.summary, here.groups.aged(0, trip));
+        int group = here.grouping.group(told.summary.key());
+        if (group >= 0 && told.list == here.grouping.hash()) {
+            here.table.silent(now, group, told.silent == null ? new byte[0] : told.silent, trip);
+        }
+        for (Aged row : told.relayed) {
+            here.hear(now, row.summary(), here.groups.aged(row.age(), trip));
+        }
+    }
+}
--- a/fleet/src/main/java/dockrelay/fleet/group/Grouping.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/Grouping.java
@@ -21,6 +21,8 @@
     /** The size that is aimed at. */
     public static final int USUAL_SIZE = 64, LEAST_SIZE = 32, MOST_SIZE = 128;
     private static final int MOST_NAMES = 16_384, LONGEST_NAME = 64;
+    /** What is told of each group has to fit one datagram. */
+    private static final int MOST_GROUPS = 512;
     /** A group holds at most this many times the mean of its zone, so that chance makes none too small. */
     private static final double FULLEST = 4.0 / 3;
     /** Groups of more than this in the mean could pass the most by chance. */
@@ -58,6 +60,10 @@
                 }
             }
         }
+        if (labels.size() > MOST_GROUPS) {
+            throw new GroupException(Code.TOO_MANY, "number of groups", Integer.toString(labels.size()),
+                "allowed are 1 to " + MOST_GROUPS + "; a zone is at least one");
+        }
         hash = (int) whole.getValue();
         keys = labels.stream().mapToInt(Roster::id).toArray();
         before = new int[rosters.size() + 1];
--- a/fleet/src/main/java/dockrelay/fleet/group/Groups.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/Groups.java
@@ -1,17 +1,21 @@
 package dockrelay.fleet.group;
 
+import dockrelay.fleet.Change;
 import dockrelay.fleet.Membership;
 import dockrelay.fleet.Pace;
 import dockrelay.fleet.Row;
 import dockrelay.fleet.Standing;
+import dockrelay.fleet.State;
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.TreeMap;
 
 /**
- * One member's view of a fleet in groups: every member of its own group, of the others what they say of
- * themselves. All times are microseconds of elapsed time, handed in.
+ * One member's view of a fleet in groups: every member of its own group, and of the others what they say of
+ * themselves. All times are microseconds of elapsed time, handed in. A fleet in one group is a
+ * {@link Membership} and nothing else. docs/membership.md has what is asked of whom.
  */
 public class Groups {
     /** What the machine has done. */
@@ -20,17 +24,51 @@
         void found(String name, Row row);
     }
 
+    /** Members' doings go on to whoever owns this machine; some decide who speaks for the group. */
+    private final class Passed implements Membership.Actions {
+        @Override
+        public void send(String to, ByteBuffer datagram) {
+            actions.send(to, datagram);
+        }
+
+        @Override
+        public void changed(Change change) {
+            if (between != null) {
+                between.speakers.changed();
+            }
+            actions.changed(change);
+        }
+
+        @Override
+        public void incarnation(long incarnation) {
+            actions.incarnation(incarnation);
+        }
+
+        @Override
+        public void clash(String name, String why) {
+            actions.clash(name, why);
+        }
+    }
+
     private final Membership own;
     private final String self;
+    private final Pace pace;
+    private final Random random;
     private final Actions actions;
     private Grouping grouping;
+    private Between between; // null where all are in one group
 
     public Groups(String self, Grouping grouping, long incarnation, int life, Pace pace, Random random,
                   Actions actions, long now) {
         this.self = self;
         this.grouping = grouping;
+        this.pace = pace;
+        this.random = random;
         this.actions = actions;
-        this.own = new Membership(self, names(grouping), incarnation, life, pace, random, actions, now);
+        this.own = new Membership(self, names(grouping), incarnation, life, pace, random, new Passed(), now);
+        if (!grouping.single()) {
+            between = between(now);
+        }
     }
 
     private List<String> names(Grouping of) {
@@ -41,26 +79,52 @@
         return of.names(group);
     }
 
-    /** Goes by another list; what is known of those on both is kept. */
+    private Between between(long now) {
+        return new Between(this, self, grouping, own, pace, random, actions, now);
+    }
+
+    /** Goes by another list; what is known of members and groups on both is kept. */
     public void configure(long now, Grouping next) {
-        List<String> names = names(next);
+        List<String> names = names(next), namesBefore = names(grouping);
+        Between before = between;
+        if (next.single() && grouping.single() || !names.equals(namesBefore)) {
+            own.configure(now, names);
+        }
         grouping = next;
-        own.configure(now, names);
+        between = next.single() ? null : between(now);
+        if (between != null && before != null) {
+            between.table.keep(before.table);
+        }
     }
 
     /** When the next tick is due. */
     public long nextAt() {
-        return own.nextAt();
+        return between == null ? own.nextAt() : Math.min(own.nextAt(), between.nextAt());
     }
 
     /** Does all that is due. */
     public void tick(long now) {
-        own.tick(now);
+        if (between == null) {
+            own.tick(now);
+            return;
+        }
+        if (now >= own.nextAt()) {
+            own.tick(now);
+        }
+        between.tick(now);
     }
 
     /** What a peer sent, by the name that its address has here; null where it has none. */
     public void receive(long now, String from, ByteBuffer datagram) {
-        own.receive(now, from, datagram);
+        if (between == null) {
+            own.receive(now, from, datagram);
+        } else if (datagram.hasRemaining() && datagram.get(datagram.position()) == Message.MAGIC) {
+            between.receive(now, from, datagram);
+        } else if (from != null && grouping.groupOf(from) >= 0 && grouping.groupOf(from) != between.own) {
+            own.answerForeign(now, from, datagram);
+        } else {
+            own.receive(now, from, datagram);
+        }
     }
 
     /** Says goodbye. */
@@ -70,7 +134,7 @@
 
     /** What this member may go by now, of the whole fleet. */
     public Standing standing(long now) {
-        return own.standing(now);
+        return between == null ? own.standing(now) : between.standing(now);
     }
 
     /** The members of the own group in order, as an operator is told of them. */
@@ -80,14 +144,22 @@
 
     /** All groups in order, as an operator is told of them. */
     public List<GroupRow> groups(long now) {
+        if (between != null) {
+            return between.rows(now);
+        }
         Standing here = own.standing(now);
-        return List.of(new GroupRow(grouping.label(0), here.configured(), here.present(), 0, 0,
+        int left = 0, gone = 0;
+        for (String name : grouping.names(0)) {
+            left += own.state(name) == State.LEFT ? 1 : 0;
+            gone += own.state(name) == State.GONE ? 1 : 0;
+        }
+        return List.of(new GroupRow(grouping.label(0), here.configured(), here.present(), left, gone,
             here.members(), here.agreement(), 0, true, true, self));
     }
 
-    /** Whether this member speaks for its group. */
+    /** Whether this member speaks for its group; in one group there is nobody to speak to. */
     public boolean speaker() {
-        return false;
+        return between != null && between.speaker();
     }
 
     /** Equal where two members of a group see the same ones of it. */
@@ -102,17 +174,69 @@
 
     /** Datagrams that were not taken, by reason, since the last call. */
     public Map<String, Long> refused() {
-        return own.refused();
+        Map<String, Long> result = new TreeMap<>(own.refused());
+        if (between != null) {
+            between.refused(result);
+        }
+        return result;
     }
 
     /** Asks for a member by name; it is told by {@link Actions#found}. */
     public void find(long now, String name) {
-        actions.found(name, own.rows(now).stream().filter(row -> row.name().equals(name)).findFirst()
-            .orElse(null));
+        if (between != null) {
+            between.find(now, name);
+        } else {
+            actions.found(name, own.rows(now).stream().filter(row -> row.name().equals(name)).findFirst()
+                .orElse(null));
+        }
     }
 
     /** Whether these bytes are meant for this machine rather than somebody else on the same socket. */
     public static boolean ours(byte first) {
-        return Membership.ours(first) || first == (byte) 0xd7;
+        return Membership.ours(first) || first == Message.MAGIC;
+    }
+
+    // --- what broken ones in tests get wrong
+
+    /** What is told in an answer was so no later than at the question. */
+    long aged(long age, long trip) {
+        return age + trip;
+    }
+
+    /** Whether a summary of this age still counts. */
+    boolean fresh(long age) {
+        return age <= pace.wordStale();
+    }
+
+    /** A group has one row, whoever tells it: the later word takes the place of the one before. */
+    Summary taken(Summary before, long beforeAge, Summary told) {
+        return told;
+    }
+
+    /** How many a group says count as there; it cannot have more than it has names. */
+    int counted(Summary of, int names) {
+        return Math.min(names, of.counted());
+    }
+
+    /** Whether a group told of has the names that it has here. */
+    boolean sameNames(int told, int here) {
+        return told == here;
+    }
+
+    /** Who is asked for another group, and for all groups within the own one. */
+    String speaker(int group, String chosen) {
+        return chosen;
+    }
+
+    String source(String chosen) {
+        return chosen;
+    }
+
+    State state(String name) {
+        return own.state(name);
+    }
+
+    Membership members() {
+        return own;
     }
 }
--- /dev/null
+++ b/fleet/src/main/java/dockrelay/fleet/group/Message.java
@@ -0,0 +1,217 @@
+package dockrelay.fleet.group;
+
+import dockrelay.fleet.Row;
+import dockrelay.fleet.Standing.Agreement;
+import dockrelay.fleet.State;
+import dockrelay.fleet.wire.Numbers;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What was read of a datagram between groups or within one; docs/membership.md has the format. */
+final class Message {
+    static final byte MAGIC = (byte) 0xd7, SECOND = 0x52, VERSION = 1;
+    /** The sections; others are passed over. */
+    static final byte ASKED = 1, MISSING = 2, SUMMARY = 3, SILENT = 4, RELAYED = 5, SINCE = 6, UP_TO = 7,
+        AGES = 8, ROWS = 9, SILENT_TO = 10, NAME = 11, MEMBER = 12;
+    /** A row's flags beside its agreement: by its key, and by another list than its teller's. */
+    static final int AGREEMENT = 3, KEYED = 4, OTHER_LIST = 8;
+    /** Ages in units of a rhythm: the last ones mean something else. */
+    static final int OLDEST = 252, NONE = 253, OLD = 254, OUT = 255;
+
+    /** Who asks whom for what: a group for itself, a member for all groups, a group for one of its names. */
+    enum Kind { ASK_GROUP, TELL_GROUP, ASK_TABLE, TELL_TABLE, ASK_NAME, TELL_NAME }
+
+    /** Why one was not taken; the words are those that members have. */
+    enum Refusal { CUT, FOREIGN, CHECKSUM, NEWER, STRANGER, MISNAMED }
+
+    /** It could not be read. */
+    static final class Unreadable extends Exception {
+        private static final long serialVersionUID = 1L;
+        final transient Refusal refusal;
+
+        Unreadable(Refusal refusal) {
+            super(refusal.name(), null, false, false);
+            this.refusal = refusal;
+        }
+    }
+
+    /** A summary of another group that somebody holds, how old at the most, in microseconds. */
+    record Aged(Summary summary, long age) {
+    }
+
+    /** A changed row of a table; the key is 0 where it goes by the teller's order, which the asker shares. */
+    record Told(int index, int key, boolean otherList, int list, int hash, int present, int left, int gone,
+                int counted, Agreement agreement, int agreeing, int speaker) {
+    }
+
+    /** To whom a group hears nothing, both in the teller's order, and how long ago at the most, in units. */
+    record SilentTo(int group, byte[] silent, int age) {
+    }
+
+    Kind kind;
+    int sender, list, sequence;
+    int asked;
+    final List<Integer> missing = new ArrayList<>();
+    Summary summary;
+    byte[] silent;
+    final List<Aged> relayed = new ArrayList<>();
+    int epoch;
+    long version;
+    boolean speaker, more;
+    byte[] ages;
+    final List<Told> rows = new ArrayList<>();
+    final List<SilentTo> silentTo = new ArrayList<>();
+    String name;
+    Row member;
+
+    private Message() {
+    }
+
+    static Message read(ByteBuffer from) throws Unreadable {
+        if (from.remaining() < 2 || from.get(from.position()) != MAGIC
+            || from.get(from.position() + 1) != SECOND) {
+            throw new Unreadable(Refusal.FOREIGN);
+        }
+        ByteBuffer in = Numbers.open(from);
+        if (in == null) {
+            throw new Unreadable(Refusal.CHECKSUM);
+        }
+        try {
+            in.getShort();
+            if (in.get() > VERSION) {
+                throw new Unreadable(Refusal.NEWER);
+            }
+            Message message = new Message();
+            message.kind = Kind.values()[in.get()];
+            message.sender = in.getInt();
+            message.list = in.getInt();
+            message.sequence = in.getInt();
+            while (in.hasRemaining()) {
+                byte tag = in.get();
+                int length = in.getShort() & 0xffff;
+                ByteBuffer section = in.slice(in.position(), length);
+                in.position(in.position() + length);
+                message.section(tag, section);
+            }
+            return message;
+        } catch (BufferUnderflowException | IndexOutOfBoundsException | IllegalArgumentException e) {
+            throw new Unreadable(Refusal.CUT);
+        }
+    }
+
+    private void section(byte tag, ByteBuffer in) {
+        switch (tag) {
+            case ASKED -> asked = in.getInt();
+            case MISSING -> {
+                while (in.hasRemaining()) {
+                    missing.add(in.getInt());
+                }
+            }
+            case SUMMARY -> summary = summary(in);
+            case SILENT -> silent = bytes(in, in.remaining());
+            case RELAYED -> {
+                while (in.hasRemaining()) {
+                    long age = Numbers.get(in) * 1000;
+                    relayed.add(new Aged(summary(in), age));
+                }
+            }
+            case SINCE -> {
+                epoch = in.getInt();
+                version = Numbers.get(in);
+                speaker = in.get() != 0;
+            }
+            case UP_TO -> {
+                epoch = in.getInt();
+                version = Numbers.get(in);
+                more = in.get() != 0;
+            }
+            case AGES -> ages = bytes(in, in.remaining());
+            case ROWS -> {
+                while (in.hasRemaining()) {
+                    rows.add(told(in));
+                }
+            }
+            case SILENT_TO -> silentTo(in);
+            case NAME -> name = text(in);
+            case MEMBER -> member = member(in);
+            default -> { } // one of a later program
+        }
+    }
+
+    private Summary summary(ByteBuffer in) {
+        int key = in.getInt(), theirs = in.getInt(), hash = in.getInt(), view = in.getInt();
+        Agreement agreement = Agreement.values()[in.get()];
+        int present = number(in), left = number(in), gone = number(in), counted = number(in);
+        int agreeing = number(in), by = in.getInt();
+        int[] speakers = new int[Math.min(in.get(), in.remaining() / 4)];
+        for (int i = 0; i < speakers.length; i++) {
+            speakers[i] = in.getInt();
+        }
+        return new Summary(key, theirs, hash, view, present, left, gone, counted, agreement, agreeing,
+            speakers, by);
+    }
+
+    private static Told told(ByteBuffer in) {
+        int index = number(in), flags = in.get();
+        boolean keyed = (flags & KEYED) != 0, other = (flags & OTHER_LIST) != 0;
+        int key = keyed ? in.getInt() : 0;
+        int list = other ? in.getInt() : 0;
+        int hash = keyed || other ? in.getInt() : 0;
+        return new Told(index, key, other, list, hash, number(in), number(in), number(in), number(in),
+            Agreement.values()[flags & AGREEMENT], number(in), keyed || other ? in.getInt() : number(in));
+    }
+
+    private void silentTo(ByteBuffer in) {
+        int length = number(in);
+        byte[][] distinct = new byte[in.get() & 0xff][];
+        for (int i = 0; i < distinct.length; i++) {
+            distinct[i] = bytes(in, length);
+        }
+        while (in.hasRemaining()) {
+            int group = number(in);
+            int age = in.get() & 0xff;
+            silentTo.add(new SilentTo(group, distinct[in.get() & 0xff], age));
+        }
+    }
+
+    private static Row member(ByteBuffer in) {
+        String name = text(in);
+        State state = State.values()[in.get()];
+        long since = Numbers.get(in) * 1000;
+        String by = text(in);
+        long incarnation = Numbers.get(in), wordAge = Numbers.get(in) - 1;
+        boolean sameList = in.get() != 0;
+        long differsFor = Numbers.get(in) - 1;
+        List<String> differsIn = new ArrayList<>();
+        while (in.hasRemaining()) {
+            differsIn.add(text(in));
+        }
+        return new Row(name, state, since, by, incarnation, wordAge < 0 ? -1 : wordAge * 1000, sameList,
+            differsIn, differsFor < 0 ? -1 : differsFor * 1000);
+    }
+
+    private static int number(ByteBuffer in) {
+        long value = Numbers.get(in);
+        if (value < 0 || value > 1 << 20) {
+            throw new IllegalArgumentException("a count of " + value);
+        }
+        return (int) value;
+    }
+
+    private static String text(ByteBuffer in) {
+        return new String(bytes(in, in.get() & 0xff), StandardCharsets.UTF_8);
+    }
+
+    /** Before so much is taken of the heap it has to be there. */
+    private static byte[] bytes(ByteBuffer in, int length) {
+        if (length > in.remaining()) {
+            throw new BufferUnderflowException();
+        }
+        byte[] result = new byte[length];
+        in.get(result);
+        return result;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/dockrelay/fleet/group/Rhythm.java
@@ -0,0 +1,51 @@
+package dockrelay.fleet.group;
+
+import dockrelay.fleet.Pace;
+
+/** How often groups ask each other and how long an answer tells something, in microseconds. */
+record Rhythm(Pace pace) {
+    /** Between two questions for the same thing. */
+    long round() {
+        return 5 * pace.period();
+    }
+
+    /** Without an answer for this long another one is asked. */
+    long retry() {
+        return 2 * pace.period();
+    }
+
+    /** All speakers ask for a group of which they hold nothing younger. */
+    long late() {
+        return 9 * pace.period();
+    }
+
+    /** A group of which speakers hold nothing younger is silent to them: said so, and asked for by all. */
+    long silent() {
+        return 12 * pace.period();
+    }
+
+    /** Past this age a summary counts for nothing. */
+    long stale() {
+        return pace.wordStale();
+    }
+
+    /** A minority's word does not take the place of another's that is younger than this. */
+    long retained() {
+        return 8 * pace.period();
+    }
+
+    /** A group that was never heard of is not silent before this. */
+    long unheard() {
+        return 50 * pace.period();
+    }
+
+    /** An answer later than this is not waited for. */
+    long forgotten() {
+        return stale();
+    }
+
+    /** What an age is told in, where there is one byte for it. */
+    long unit() {
+        return pace.period() / 10;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/dockrelay/fleet/group/TableAsker.java
@@ -0,0 +1,240 @@
+package dockrelay.fleet.group;
+
+import dockrelay.fleet.Roster;
+import dockrelay.fleet.State;
+import dockrelay.fleet.group.Message.Kind;
+import dockrelay.fleet.group.Message.SilentTo;
+import dockrelay.fleet.group.Message.Told;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What the other groups say, within one group: a member asks one of the speakers once a round, another one
+ * after no answer or while it misses something; a speaker asks each of the others, which joins their parts.
+ * The answer has what changed since the last one, and a byte of age for each group.
+ */
+final class TableAsker {
+    private final Between here;
+    private final int epoch;
+    private final Map<String, Source> sources = new HashMap<>();
+    private final Map<String, Long> dueAt = new HashMap<>();
+    private long nextRound;
+    private int shift, tries;
+
+    TableAsker(Between here, long now, int epoch) {
+        this.here = here;
+        this.epoch = epoch;
+        this.nextRound = now + (long) (here.random.nextDouble() * here.rhythm.round());
+        this.shift = Math.floorMod(Roster.id(here.self), 1 << 16);
+    }
+
+    /** Asks what is due; returns when the next one is. */
+    long tick(long now) {
+        List<String> speakers = here.speakers.names();
+        if (!here.speaker()) {
+            dueAt.clear();
+            if (now >= nextRound) {
+                nextRound = now + (long) (here.rhythm.round() * (0.95 + 0.1 * here.random.nextDouble()));
+                tries = 0;
+                if (misses(now)) {
+                    shift++;
+                }
+                ask(now);
+            }
+            sources.keySet().removeIf(name -> !speakers.contains(name) && sources.size() > speakers.size());
+            return nextRound;
+        }
+        long next = Long.MAX_VALUE;
+        dueAt.keySet().retainAll(speakers);
+        sources.keySet().retainAll(speakers);
+        for (String other : speakers) {
+            if (!other.equals(here.self)) {
+                long due = dueAt.computeIfAbsent(other, name -> now
+                    + (long) (here.random.nextDouble() * here.rhythm.retry()));
+                if (now >= due) {
+                    due = now + (long) (here.rhythm.round() * (0.95 + 0.1 * here.random.nextDouble()));
+                    dueAt.put(other, due);
+                    ask(now, other);
+                }
+                next = Math.min(next, due);
+            }
+        }
+        return next;
+    }
+
+    /** Whether something is old that another speaker may know better. */
+    private boolean misses(long now) {
+        for (int group = 0; group < here.grouping.groups(); group++) {
+            if (group != here.own && here.table.unsure(now, group) > here.rhythm.silent()
+                && !here.count.marked(now, group)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void ask(long now) {
+        List<String> speakers = here.speakers.names();
+        if (!speakers.isEmpty() && tries < speakers.size()) {
+            ask(now, here.groups.source(speakers.get(Math.floorMod(shift, speakers.size()))));
+            return;
+        }
+        List<String> present = here.grouping.names(here.own).stream().filter(name ->
+            here.members.state(name) == State.PRESENT && !name.equals(here.self)).toList();
+        if (!present.isEmpty()) {
+            ask(now, here.groups.source(present.get(here.random.nextInt(present.size()))));
+        }
+    }
+
+    private void ask(long now, String to) {
+        Source source = sources.get(to);
+        Question question = here.questions.ask(now, Kind.ASK_TABLE, to, -1, null);
+        here.send(to, here.writer(Kind.ASK_TABLE, question.sequence).since(source == null ? 0 : source.epoch,
+            source == null ? 0 : source.version, here.speaker()));
+    }
+
+    /** Another one is asked, and from now on. */
+    void failed(long now) {
+        if (!here.speaker() && tries <= here.speakers.names().size()) {
+            tries++;
+            shift++;
+            ask(now);
+        }
+    }
+
+    void answer(long now, String from, Message asked) {
+        boolean keyed = asked.list != here.grouping.hash();
+        long since = asked.epoch == epoch ? asked.version : 0;
+        Table table = here.table;
+        int groups = here.grouping.groups();
+        List<Integer> changed = new ArrayList<>();
+        for (int group = 0; group < groups; group++) {
+            if (group != here.own && table.summary(group) != null && table.version(group) > since) {
+                changed.add(group);
+            }
+        }
+        changed.sort(Comparator.comparingLong(table::version));
+        List<Told> rows = new ArrayList<>();
+        if (keyed) { // by its list it may be of another group than this one's
+            rows.add(row(here.own, here.summary(now), true));
+        }
+        changed.forEach(group -> rows.add(row(group, table.summary(group), keyed)));
+        Writer writer = here.writer(Kind.TELL_TABLE, asked.sequence);
+        int written = writer.rows(rows, keyed, groups + 24);
+        boolean more = written < rows.size();
+        long upTo = more ? table.version(rows.get(written - 1).index()) : table.version();
+        byte[] ages = new byte[groups];
+        for (int group = 0; group < groups; group++) {
+            ages[group] = (byte) age(now, group, keyed, upTo);
+        }
+        writer.upTo(epoch, upTo, more).ages(ages);
+        if (asked.speaker && !keyed) {
+            List<SilentTo> silent = new ArrayList<>();
+            for (int group = 0; group < groups; group++) {
+                byte[] bits = group == here.own ? null : table.silent(now, group);
+                if (bits != null && bits.length > 0) {
+                    silent.add(new SilentTo(group, java.util.Arrays.copyOf(bits, (groups + 7) / 8),
+                        units(table.silentAge(now, group))));
+                }
+            }
+            writer.silentTo(silent);
+        }
+        here.send(from, writer);
+    }
+
+    private int age(long now, int group, boolean keyed, long upTo) {
+        if (group == here.own) {
+            return keyed ? 0 : Message.NONE;
+        } else if (here.silence.agreed(now, group)) {
+            return Message.OUT;
+        } else if (here.table.summary(group) == null || here.table.version(group) > upTo) {
+            return Message.NONE;
+        }
+        return units(here.table.age(now, group));
+    }
+
+    /** Rounded up: an age is never under-stated. */
+    private int units(long age) {
+        long units = (age + here.rhythm.unit() - 1) / here.rhythm.unit();
+        return units > Message.OLDEST ? Message.OLD : (int) units;
+    }
+
+    private Told row(int group, Summary of, boolean keyed) {
+        boolean otherList = of.list() != here.grouping.hash();
+        int speaker = of.first();
+        if (!keyed && !otherList) {
+            speaker = 1 + here.grouping.roster(group).index(of.first());
+        }
+        return new Told(group, here.grouping.key(group), otherList, of.list(), of.hash(), of.present(),
+            of.left(), of.gone(), of.counted(), of.agreement(), of.agreeing(), speaker);
+    }
+
+    void told(long now, Question question, Message told) {
+        if (told.ages == null) {
+            return;
+        }
+        Source source = sources.computeIfAbsent(question.to, Source::new);
+        if (question.at < source.askedAt) {
+            return; // overtaken by an answer to a later question
+        }
+        if (source.epoch != told.epoch || source.rows.length != told.ages.length) {
+            source.anew(told.epoch, told.list, told.ages.length);
+        }
+        source.askedAt = question.at;
+        source.version = told.version;
+        boolean alike = told.list == here.grouping.hash();
+        for (Told row : told.rows) {
+            if (row.index() < source.rows.length && (alike || row.key() != 0)) {
+                source.rows[row.index()] = summary(row, told.list, alike);
+            }
+        }
+        long trip = now - question.at;
+        for (int index = 0; index < source.rows.length; index++) {
+            int age = told.ages[index] & 0xff;
+            source.out[index] = age == Message.OUT;
+            if (age <= Message.OLDEST && source.rows[index] != null) {
+                here.hear(now, source.rows[index], here.groups.aged(age * here.rhythm.unit(), trip));
+            }
+        }
+        if (alike) {
+            for (SilentTo silent : told.silentTo) {
+                if (silent.group() < here.grouping.groups() && silent.age() <= Message.OLDEST) {
+                    here.table.silent(now, silent.group(), silent.silent(),
+                        silent.age() * here.rhythm.unit() + trip);
+                }
+            }
+        }
+        if (told.more) {
+            ask(now, question.to);
+        }
+    }
+
+    private Summary summary(Told row, int list, boolean alike) {
+        boolean plain = row.key() == 0 && !row.otherList();
+        int group = row.key() != 0 ? here.grouping.group(row.key()) : alike ? row.index() : -1;
+        int key = row.key() != 0 ? row.key() : here.grouping.key(group);
+        int[] speakers = {};
+        if (!plain && row.speaker() != 0) {
+            speakers = new int[] {row.speaker()};
+        } else if (plain && row.speaker() > 0 && row.speaker() <= here.grouping.names(group).size()) {
+            speakers = new int[] {here.grouping.roster(group).idAt(row.speaker() - 1)};
+        }
+        return new Summary(key, row.otherList() ? row.list() : list, plain ? here.grouping.hash(group)
+            : row.hash(), 0, row.present(), row.left(), row.gone(), row.counted(), row.agreement(),
+            row.agreeing(), speakers, speakers.length == 0 ? 0 : speakers[0]);
+    }
+
+    /** Whether a speaker said lately that most hear nothing of a group. */
+    boolean marked(long now, int group) {
+        for (Source source : sources.values()) {
+            if (source.list == here.grouping.hash() && group < source.out.length && source.out[group]
+                && now - source.askedAt <= here.rhythm.silent()) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/dockrelay/fleet/group/FleetWorld.java
@@ -0,0 +1,480 @@
+package dockrelay.fleet.group;
+
+import dockrelay.fleet.Change;
+import dockrelay.fleet.Pace;
+import dockrelay.fleet.Row;
+import dockrelay.fleet.Standing;
+import dockrelay.fleet.Standing.Agreement;
+import dockrelay.fleet.State;
+import dockrelay.fleet.VirtualNetwork;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** A fleet in groups on a virtual clock and network, from one seed, and what must hold of it always. */
+final class FleetWorld extends VirtualNetwork {
+    private static final int INBOX = 256;
+    private static final long STANDING = SECOND / 2, LOOK = 100 * MILLI;
+    /** What is told of a group is no longer counted, and known to all, within this. */
+    static final long DELAY = 9 * SECOND;
+    private static final double CLOCKS = 1.03;
+
+    /** Makes a machine, so that a broken one can take its place. */
+    interface Maker {
+        Groups make(String self, Grouping grouping, long incarnation, int life, Pace pace, Random random,
+            Groups.Actions actions, long now);
+    }
+
+    /** Something that must hold did not. */
+    static final class Broken extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        Broken(String what) {
+            super(what);
+        }
+    }
+
+    /** One process of a name, with a clock of its own. */
+    final class Process implements Groups.Actions {
+        final String name;
+        final double rate = 1 + (random.nextDouble() - 0.5) * 0.02;
+        final long offset = random.nextInt(1_000_000_000);
+        final List<Runnable> inbox = new ArrayList<>();
+        final Groups machine;
+        final long first, startedAt = now;
+        Grouping grouping;
+        boolean dead, stopped;
+        Standing standing;
+        long standingAt, wakeOrder, troubledAt = now;
+        long sent, sentBytes, got, gotBytes;
+        final Map<String, Row> found = new HashMap<>();
+
+        Process(String name, Grouping grouping, long incarnation) {
+            this.name = name;
+            this.grouping = grouping;
+            this.first = incarnations.getOrDefault(name, 0L) + 1; // what is said of lower ones is of the dead
+            this.machine = maker.make(name, grouping, incarnation, random.nextInt() | 1, Pace.USUAL,
+                new Random(random.nextLong()), this, local());
+            schedule();
+            judge();
+        }
+
+        long local() {
+            return offset + (long) (now * rate);
+        }
+
+        void schedule() {
+            long mine = ++wakeOrder;
+            long at = now + Math.max(0, (long) Math.ceil((machine.nextAt() - local()) / rate));
+            later(at - now, () -> run(() -> {
+                if (mine == wakeOrder) {
+                    machine.tick(local());
+                    schedule();
+                }
+            }));
+        }
+
+        /** What a stopped process would do waits until it goes on. */
+        void run(Runnable action) {
+            if (dead) {
+                return;
+            } else if (!stopped) {
+                action.run();
+            } else if (inbox.size() < INBOX) {
+                inbox.add(action);
+            }
+        }
+
+        private void judge() {
+            run(() -> {
+                standing = machine.standing(local());
+                standingAt = local();
+                later(STANDING, this::judge);
+            });
+        }
+
+        double share() {
+            return local() - standingAt <= Pace.USUAL.standingStale() ? standing.share()
+                : standing.leastShare();
+        }
+
+        boolean lives() {
+            return !dead && !stopped;
+        }
+
+        @Override
+        public void send(String to, ByteBuffer datagram) {
+            byte[] bytes = new byte[datagram.remaining()];
+            datagram.get(bytes);
+            sent++;
+            sentBytes += bytes.length;
+            if (bytes.length > Writer.LONGEST) {
+                throw new Broken("a datagram of " + bytes.length + " bytes");
+            }
+            if (bytes[0] == Message.MAGIC) {
+                between++;
+                if (bytes[3] == Message.Kind.TELL_GROUP.ordinal()
+                    || bytes[3] == Message.Kind.TELL_TABLE.ordinal()) {
+                    toldAt.put(grouping.key(grouping.groupOf(name)), now);
+                    if (watched) {
+                        said(this);
+                    }
+                }
+            }
+            pass(name, to, bytes);
+        }
+
+        @Override
+        public void changed(Change change) {
+            trace(name + " holds: " + change);
+            Process of = processes.get(change.member());
+            boolean lives = of != null && of.lives();
+            // That an earlier process of the name is dead is true.
+            if (change.now() == State.GONE && lives && change.incarnation() >= of.first
+                && now - of.startedAt > 3 * SECOND) {
+                falselyGone++;
+                lastFalse = name + " holds " + change;
+            }
+        }
+
+        @Override
+        public void incarnation(long own) {
+            incarnations.merge(name, own, Math::max);
+        }
+
+        @Override
+        public void clash(String whose, String why) {
+            trace(name + " says: two go by " + whose + ": " + why);
+        }
+
+        @Override
+        public void found(String whose, Row row) {
+            found.put(whose, row);
+        }
+    }
+
+    final Map<String, Process> processes = new TreeMap<>();
+    final Map<String, Long> incarnations = new HashMap<>();
+    /** Who cannot reach whom, counted; of sides by name. */
+    final Map<String, Integer> cut = new HashMap<>();
+    /** Null where nothing comes between them. */
+    Map<String, Integer> sides;
+    final Maker maker;
+    private final boolean watched;
+    private final Map<Integer, Long> toldAt = new HashMap<>();
+    private final Map<Integer, List<long[]>> saidOf = new HashMap<>();
+    Grouping current;
+    /** While it is so, lists differ or have just done. */
+    long listsDifferUntil = -1;
+    boolean checksOut = true;
+    int falselyGone, outs;
+    long between;
+    String lastFalse, lastOut;
+    double mostShare;
+
+    FleetWorld(long seed, Grouping grouping, Maker maker, boolean traced) {
+        this(seed, grouping, maker, traced, true);
+    }
+
+    /** Unwatched where there are too many to look at each of them all the time. */
+    FleetWorld(long seed, Grouping grouping, Maker maker, boolean traced, boolean watched) {
+        super(seed, traced);
+        this.current = grouping;
+        this.maker = maker;
+        this.watched = watched;
+        if (watched) {
+            later(LOOK, this::look);
+        }
+    }
+
+    void start(String name, Grouping by, long incarnation) {
+        trace(name + " starts with incarnation " + incarnation);
+        processes.put(name, new Process(name, by, incarnation));
+    }
+
+    void startAll(long within) {
+        for (int group = 0; group < current.groups(); group++) {
+            for (String name : current.names(group)) {
+                later(within == 0 ? 0 : (long) (random.nextDouble() * within),
+                    () -> start(name, current, 1));
+            }
+        }
+    }
+
+    void kill(String name) {
+        Process process = processes.get(name);
+        if (process != null && !process.dead) {
+            trace(name + " is killed");
+            process.dead = true;
+        }
+    }
+
+    void goOn(Process process) {
+        process.stopped = false;
+        trace(process.name + " goes on");
+        List<Runnable> waiting = new ArrayList<>(process.inbox);
+        process.inbox.clear();
+        Collections.shuffle(waiting, random);
+        waiting.forEach(process::run);
+    }
+
+    void configure(String name, Grouping next) {
+        Process process = processes.get(name);
+        if (process != null && !process.dead && next.groupOf(name) >= 0) {
+            process.run(() -> {
+                trace(name + " goes by another list");
+                process.grouping = next;
+                process.machine.configure(process.local(), next);
+                process.schedule();
+            });
+        }
+    }
+
+    /** Blocks one way, or gives it free again; cuts add up. */
+    void cut(String from, String to, int by) {
+        cut.merge(from + " " + to, by, (a, b) -> a + b == 0 ? null : a + b);
+    }
+
+    @Override
+    protected boolean blocked(String from, String to) {
+        return sides != null && !sides.get(from).equals(sides.get(to))
+            || !cut.isEmpty() && cut.containsKey(from + " " + to);
+    }
+
+    @Override
+    protected void arrive(String from, String to, byte[] bytes) {
+        Process process = processes.get(to);
+        if (process != null) {
+            process.run(() -> {
+                process.got++;
+                process.gotBytes += bytes.length;
+                process.machine.receive(process.local(), from, ByteBuffer.wrap(bytes));
+                process.schedule();
+            });
+        }
+    }
+
+    // --- what must hold at every moment
+
+    private void look() {
+        Map<Integer, Double> sums = new HashMap<>();
+        trouble();
+        for (Process process : processes.values()) {
+            if (!process.dead) {
+                sums.merge(process.grouping.hash(), process.share(), Double::sum);
+                if (!process.stopped) {
+                    look(process);
+                }
+            }
+        }
+        sums.values().forEach(sum -> {
+            mostShare = Math.max(mostShare, sum);
+            if (sum > 1 + 1e-9) {
+                throw new Broken(String.format("at %.3f s the parts of those with one list add up to %.4f",
+                    now / 1e6, sum));
+            }
+        });
+        later(LOOK, this::look);
+    }
+
+    /** Who is not heard by most, or has not been for a while, may be counted out. */
+    private void trouble() {
+        int live = 0;
+        Map<String, Integer> cuts = new HashMap<>();
+        cut.keySet().forEach(pair -> {
+            cuts.merge(pair.substring(0, pair.indexOf(' ')), 1, Integer::sum);
+            cuts.merge(pair.substring(pair.indexOf(' ') + 1), 1, Integer::sum);
+        });
+        for (Process process : processes.values()) {
+            live += process.dead ? 0 : 1;
+        }
+        for (Process process : processes.values()) {
+            if (!process.lives() || loss > 0 || cuts.getOrDefault(process.name, 0) >= live / 2) {
+                process.troubledAt = now;
+            }
+        }
+    }
+
+    /** What a group's member counts of it as it tells others. */
+    private void said(Process process) {
+        int key = process.grouping.key(process.grouping.groupOf(process.name));
+        int counted = process.machine.members().standing(process.local()).members();
+        saidOf.computeIfAbsent(key, of -> new ArrayList<>()).add(new long[] {now, counted});
+    }
+
+    private int leastSaid(int key) {
+        List<long[]> said = saidOf.getOrDefault(key, new ArrayList<>());
+        said.removeIf(one -> now - one[0] > DELAY);
+        return (int) said.stream().mapToLong(one -> one[1]).min().orElse(0);
+    }
+
+    private void look(Process process) {
+        long local = process.local();
+        Grouping grouping = process.grouping;
+        Standing standing = process.machine.standing(local);
+        if (standing.members() > grouping.size() || standing.configured() != grouping.size()) {
+            throw new Broken(process.name + " counts " + standing + " of " + grouping.size() + " names");
+        }
+        boolean left = process.machine.state(process.name) == State.LEFT; // it no longer counts itself
+        if (!left && (standing.me() < 0 || standing.me() >= standing.members())) {
+            throw new Broken(process.name + " is none of those it counts: " + standing);
+        }
+        if (grouping.single()) {
+            return;
+        }
+        int sum = 0;
+        List<GroupRow> rows = process.machine.groups(local);
+        for (int group = 0; group < rows.size(); group++) {
+            GroupRow row = rows.get(group);
+            sum += row.counted();
+            if (group != grouping.groupOf(process.name)) {
+                look(process, group, row);
+            }
+        }
+        if (Math.max(1, sum) != standing.members()) {
+            throw new Broken(process.name + " counts " + sum + " by groups, " + standing.members()
+                + " in all");
+        }
+    }
+
+    private void look(Process process, int group, GroupRow row) {
+        Grouping grouping = process.grouping;
+        int key = grouping.key(group), names = grouping.names(group).size();
+        long quiet = now - toldAt.getOrDefault(key, -1_000 * SECOND);
+        if (row.counted() > names) {
+            throw new Broken(process.name + " counts more of " + row + " than there are names");
+        }
+        if (row.age() >= 0 && row.age() * CLOCKS + 5 * MILLI < quiet) {
+            throw new Broken(String.format("%s calls what %s said %.3f s old, which said nothing for %.3f s",
+                process.name, row.label(), row.age() / 1e6, quiet / 1e6));
+        }
+        boolean out = row.counted() == 0;
+        if (quiet > Pace.USUAL.wordStale() * CLOCKS && !out && row.counted() < names) {
+            throw new Broken(String.format("%s counts %d of %s, which said nothing for %.3f s", process.name,
+                row.counted(), row.label(), quiet / 1e6));
+        }
+        boolean differ = now < listsDifferUntil || grouping != current;
+        if (!out && !differ && row.counted() < leastSaid(key) && checksOut) {
+            throw new Broken(process.name + " counts fewer of " + row + " than it says itself: "
+                + leastSaid(key));
+        }
+        if (out && now - process.startedAt > DELAY) {
+            outs++;
+            for (String name : grouping.names(group)) {
+                Process of = processes.get(name);
+                if (of != null && of.lives() && of.grouping.groupOf(name) == group && of.grouping == grouping
+                    && now - of.troubledAt > DELAY && now - process.troubledAt > DELAY && !differ
+                    && now - of.startedAt > DELAY) {
+                    throw new Broken(process.name + " counts out " + row + ", where " + name
+                        + " lives and is heard by most");
+                }
+            }
+        }
+    }
+
+    // --- what holds once all is over
+
+    /** Null where all that live see the same of their groups and count alike, and know that all agree. */
+    String disagreement() {
+        String wrong = inGroups();
+        Set<Integer> numbers = new HashSet<>();
+        int live = 0;
+        for (Process process : processes.values()) {
+            live += process.dead ? 0 : 1;
+        }
+        for (Process process : processes.values()) {
+            if (process.dead || wrong != null) {
+                continue;
+            }
+            Standing standing = process.machine.standing(process.local());
+            boolean odd = odd();
+            if (process.grouping != current) {
+                boolean late = standing.members() < Math.min(live, standing.configured() - 1);
+                wrong = late || standing.agreement() == Agreement.ALL ? process.name
+                    + " with a list of its own has " + standing + " of " + live : null;
+            } else if (odd) {
+                wrong = standing.members() < live ? process.name + " counts too few: " + standing + " of "
+                    + live : null;
+            } else {
+                wrong = counts(process, standing);
+                if (wrong == null && standing.agreement() != Agreement.MINORITY
+                    && !numbers.add(standing.me())) {
+                    wrong = process.name + " has another one's number: " + standing;
+                }
+            }
+        }
+        return wrong;
+    }
+
+    /** Whether one that lives goes by a list of its own. */
+    private boolean odd() {
+        return processes.values().stream().anyMatch(process -> !process.dead && process.grouping != current);
+    }
+
+    private String counts(Process process, Standing standing) {
+        List<GroupRow> rows = process.machine.groups(process.local());
+        int sum = 0, present = 0, left = 0;
+        boolean all = true;
+        for (int group = 0; group < rows.size(); group++) {
+            Standing in = null;
+            for (String name : current.names(group)) {
+                Process of = processes.get(name);
+                if (of != null && !of.dead) {
+                    in = of.machine.members().standing(of.local());
+                }
+            }
+            int names = current.names(group).size();
+            int expected = in != null ? in.members() : standing.agreement() == Agreement.MINORITY ? names : 0;
+            if (rows.get(group).counted() != expected) {
+                return process.name + " counts " + rows.get(group) + ", which should be " + expected;
+            }
+            sum += expected;
+            present += in == null ? 0 : in.present();
+            all &= in == null || in.agreement() == Agreement.ALL;
+            left += rows.get(group).left();
+        }
+        Agreement expected = 2 * present <= current.size() - left ? Agreement.MINORITY
+            : all ? Agreement.ALL : Agreement.MAJORITY;
+        return standing.agreement() != expected || standing.members() != Math.max(1, sum)
+            || standing.present() != present
+            ? process.name + " has " + standing + ", which should be " + expected + " " + sum + " " + present
+            + "; of groups themselves: " + saidNow() : null;
+    }
+
+    private String saidNow() {
+        StringBuilder said = new StringBuilder();
+        for (Process of : processes.values()) {
+            if (!of.dead) {
+                Standing in = of.machine.members().standing(of.local());
+                said.append(' ').append(of.name).append(':').append(in.agreement()).append('/')
+                    .append(in.agreeing()).append('/').append(in.present()).append('/').append(in.members());
+            }
+        }
+        return said.toString();
+    }
+
+    private String inGroups() {
+        for (Process process : processes.values()) {
+            if (process.dead || process.grouping != current) {
+                continue;
+            }
+            for (String name : current.names(current.groupOf(process.name))) {
+                Process of = processes.get(name);
+                boolean lives = of != null && !of.dead;
+                State held = process.machine.state(name);
+                if (lives != (held == State.PRESENT)) {
+                    return process.name + " holds " + name + " " + held + ", which " + (lives ? "lives"
+                        : "is dead");
+                }
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/dockrelay/fleet/group/GroupsTest.java
@@ -0,0 +1,44 @@
+package dockrelay.fleet.group;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+class GroupsTest {
+    /** `-Dgroups.schedule=SEED` plays one of them and tells all that happens. */
+    private static final Long ONE = Long.getLong("groups.schedule");
+    private static final long SCHEDULES = Long.getLong("groups.schedules", 1_000);
+
+    /** Over all seeds: what must hold holds whatever breaks; the first that fails says how to see it. */
+    @Test
+    void allThatMustHoldDoesInAThousandSchedules() {
+        if (ONE != null) {
+            System.out.println(FleetSchedule.play(ONE, Groups::new, true));
+            return;
+        }
+        ConcurrentLinkedQueue<String> broken = new ConcurrentLinkedQueue<>();
+        List<FleetSchedule.Outcome> outcomes = LongStream.rangeClosed(1, SCHEDULES).parallel()
+            .mapToObj(seed -> {
+            try {
+                return FleetSchedule.play(seed, Groups::new, false);
+            } catch (RuntimeException e) {
+                broken.add("-Dgroups.schedule=" + seed + ": " + e);
+                return null;
+            }
+        }).filter(outcome -> outcome != null).toList();
+        long[] settled = outcomes.stream().mapToLong(FleetSchedule.Outcome::settled).sorted().toArray();
+        System.out.printf("%d schedules of groups, %d without loss, %d false declarations in the others; "
+            + "%d with a group counted out; all agree after %.2f s (p50), %.2f s (p99); most of a budget "
+            + "given out %.3f%n", outcomes.size(),
+            outcomes.stream().filter(FleetSchedule.Outcome::lossless).count(),
+            outcomes.stream().mapToInt(FleetSchedule.Outcome::falselyGone).sum(),
+            outcomes.stream().filter(outcome -> outcome.outs() > 0).count(),
+            settled.length == 0 ? 0 : settled[settled.length / 2] / 1e6,
+            settled.length == 0 ? 0 : settled[settled.length * 99 / 100] / 1e6,
+            outcomes.stream().mapToDouble(FleetSchedule.Outcome::mostShare).max().orElse(0));
+        assertEquals(List.of(), broken.stream().limit(20).toList(), broken.size() + " are broken");
+    }
+}
