--- a/lab/src/main/java/dockrelay/lab/scale/Roles.java
+++ b/lab/src/main/java/dockrelay/lab/scale/Roles.java
@@ -2,13 +2,19 @@
 
 import dockrelay.lab.scale.list.ListRole;
 import dockrelay.lab.scale.load.LoadRole;
+import dockrelay.lab.scale.members.BudgetsRole;
+import dockrelay.lab.scale.members.MembersRole;
 import dockrelay.lab.scale.tenants.TenantsRole;
 import java.util.List;
 
 /** The roles that there are. */
 public final class Roles {
     private static final List<Role> ALL = List.of(
-        new ListRole(), new TenantsRole(), new LoadRole()
+        new MembersRole(),
+        new BudgetsRole(),
+        new ListRole(),
+        new TenantsRole(),
+        new LoadRole()
     );
 
     private Roles() {
--- a/lab/src/main/java/dockrelay/lab/scale/list/InForce.java
+++ b/lab/src/main/java/dockrelay/lab/scale/list/InForce.java
@@ -42,8 +42,10 @@
             synchronized (this) {
                 taken.put(version, line.at());
                 notifyAll();
+                if (!asker.isShutdown()) {
+                    asker.execute(() -> ask(version));
+                }
             }
-            asker.execute(() -> ask(version));
         }
         matcher = COUNTED.matcher(line.text());
         if (matcher.matches()) {
@@ -119,7 +121,9 @@
 
     @Override
     public void close() throws IOException {
-        asker.shutdownNow();
+        synchronized (this) {
+            asker.shutdownNow(); // a process that ends may still say something
+        }
         if (talk != null) {
             talk.close();
         }
