--- a/lab/src/main/java/dockrelay/lab/scale/list/ListPlay.java
+++ b/lab/src/main/java/dockrelay/lab/scale/list/ListPlay.java
@@ -227,11 +227,19 @@
         String part = "changes without requests";
         clients.pause(true);
         try {
+            TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
+            Processor idle = proxy.processor();
+            long began = System.nanoTime();
             TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
             Processor before = proxy.processor();
+            double share = (double) before.since(idle).used() / (System.nanoTime() - began);
+            began = System.nanoTime();
             int count = series(part, ALONE_RATE, ALONE_CHANGES);
-            found.add("ms", part + ": processor time a change",
-                proxy.processor().since(before).used() / MILLION / count);
+            double used = proxy.processor().since(before).used(), over = System.nanoTime() - began;
+            found.add("ms", part + ": processor time a change", used / MILLION / count);
+            found.add("ms", part + ": processor time a change, less idle",
+                Math.max(0, used - share * over) / MILLION / count);
+            found.add("% of a core", part + ": idle before", 100 * share);
         } finally {
             clients.pause(false);
         }
