--- a/lab/src/main/java/dockrelay/lab/scale/load/ProxyUnderTest.java
+++ b/lab/src/main/java/dockrelay/lab/scale/load/ProxyUnderTest.java
@@ -140,7 +140,7 @@
         } catch (IOException | DirectoryIteratorException e) {
             return last;
         }
-        if (used > 0) {
+        if (used >= last.used) { // one that has just ended has a thread or none left
             last = new Processor(used, waited);
         }
         return last;
