Test by counts that what a member of a group keeps and sends does not grow

Change: SlopesTest at 96, 192 and 384 names: names kept singly, datagrams, bytes, and the busiest member's bytes after a seventh was lost; all have to count all meanwhile.

--- a/lab/src/test/java/dockrelay/lab/scale/members/SlopesTest.java
+++ b/lab/src/test/java/dockrelay/lab/scale/members/SlopesTest.java
@@ -1,5 +1,6 @@
 package dockrelay.lab.scale.members;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HashSet;
@@ -19,7 +20,7 @@
     private static final int[] ZONES = {3, 6, 12};
     private static final int IN_A_ZONE = 32;
 
-    /** What a member costs, by counts. */
+    /** What a member costs, by counts; the last one is that of the busiest member. */
     private record Cost(double known, double datagrams, double bytes, double mostAfterALoss) {
     }
 
@@ -46,13 +47,24 @@
         for (int i = 0; i < n; i++) {
             known += ((HollowMember) fleet.machine(i)).known(fleet.local(i)) / (double) n;
         }
+        assertAllCount(fleet, n);
         Set<Integer> lost = new HashSet<>(Scenario.drawn(fleet).subList(0, n / 7));
         lost.forEach(fleet::kill);
         fleet.out.clear();
         fleet.runUntil(37 * SECOND);
+        assertAllCount(fleet, n - lost.size());
         return new Cost(known, datagrams, bytes, fleet.out.mostInTenSeconds());
     }
 
+    /** Cheap is worth nothing where members do not know of all. */
+    private static void assertAllCount(VirtualFleet fleet, int live) {
+        for (int i = 0; i < fleet.count(); i++) {
+            if (fleet.lives(i)) {
+                assertEquals(live, fleet.standing(i).members(), fleet.name(i));
+            }
+        }
+    }
+
     /** The exponent by which each grows. */
     private static Cost exponents(HollowMember.Kind kind) {
         SimpleRegression[] fits = {new SimpleRegression(), new SimpleRegression(), new SimpleRegression(),
@@ -77,4 +89,13 @@
         assertTrue(exponents.bytes > 0.15, exponents.toString());
         assertTrue(exponents.mostAfterALoss > 0.25, exponents.toString());
     }
+
+    @Test
+    void whatAMemberOfAGroupKeepsAndSendsDoesNotGrowWithTheFleet() {
+        Cost exponents = exponents(GroupMember.KIND);
+        assertTrue(Math.abs(exponents.known) < 0.01, exponents.toString());
+        assertTrue(exponents.datagrams < 0.1, exponents.toString());
+        assertTrue(exponents.bytes < 0.1, exponents.toString());
+        assertTrue(exponents.mostAfterALoss < 0.25, exponents.toString());
+    }
 }
