Say how late the hollow members' threads were, and who never agreed at the start

Seen: among 400 on sockets nobody agreed within 60 s, and the figure said that all had; whether the members or their threads were to blame was not told.

Change: those who never agreed are counted; lateness of wakes, p99, is a figure.

--- a/lab/src/main/java/dockrelay/lab/scale/members/LoopbackFleet.java
+++ b/lab/src/main/java/dockrelay/lab/scale/members/LoopbackFleet.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.HdrHistogram.ConcurrentHistogram;
 
 /** Hollow members with a real socket each, on loopback, spread over some threads of this process. */
 final class LoopbackFleet implements AutoCloseable {
@@ -43,6 +44,7 @@
         private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
         private final List<One> members = new ArrayList<>();
         private final ByteBuffer buffer = ByteBuffer.allocateDirect(LONGEST);
+        private final ConcurrentHistogram late = new ConcurrentHistogram(2);
         private long lookAt;
         private volatile boolean ended;
         private volatile String failed;
@@ -87,7 +89,10 @@
             }
             for (Wake wake = wakes.peek(); wake != null && wake.at <= now(); wake = wakes.peek()) {
                 wakes.poll();
-                wake.one.wake(wake.at);
+                if (wake.one.due(wake.at)) {
+                    late.recordValue(Math.max(0, now() - wake.at));
+                    wake.one.wake();
+                }
             }
             if (now() >= lookAt) {
                 lookAt = now() + LOOK;
@@ -127,12 +132,14 @@
             }
         }
 
-        void wake(long at) {
-            if (at == wakeAt && machine != null) {
-                wakeAt = Long.MAX_VALUE;
-                machine.tick(now());
-                schedule();
-            }
+        boolean due(long at) {
+            return at == wakeAt && machine != null;
+        }
+
+        void wake() {
+            wakeAt = Long.MAX_VALUE;
+            machine.tick(now());
+            schedule();
         }
 
         void read(ByteBuffer buffer) throws IOException {
@@ -250,6 +257,11 @@
         return unsent.get();
     }
 
+    /** How late the worst thread's wakes were, in microseconds, 99 in 100 of them: its own want of time. */
+    long lateness() {
+        return workers.stream().mapToLong(worker -> worker.late.getValueAtPercentile(99)).max().orElse(0);
+    }
+
     /** Null, or what ended a thread. */
     String failed() {
         return workers.stream().map(worker -> worker.failed).filter(one -> one != null).findFirst()
--- a/lab/src/main/java/dockrelay/lab/scale/members/RealPlay.java
+++ b/lab/src/main/java/dockrelay/lab/scale/members/RealPlay.java
@@ -75,8 +75,9 @@
     }
 
     private void run() throws IOException, InterruptedException {
-        figures.times("start, all agree, with the processes' own start", await(START_WITHIN, this::agrees,
-            said -> said.allAgree() && said.count("counted") == live), 0);
+        List<Double> started = await(START_WITHIN, this::agrees,
+            said -> said.allAgree() && said.count("counted") == live);
+        figures.times("start, all agree, with the processes' own start", started, live - started.size());
         seconds(numbers.get("warm"));
         quiet();
         List<String> drawn = new ArrayList<>(hollow.seen().keySet());
@@ -104,6 +105,7 @@
         figures.add("bytes sent, most in any 10 s, a seventh lost", "B/s", hollow.out.mostInTenSeconds());
         figures.add("bytes received, most in any 10 s, a seventh lost", "B/s", hollow.in.mostInTenSeconds());
         sameDigest("after a seventh was lost");
+        figures.add("lateness of the hollow members' own threads, p99", "ms", hollow.lateness() / 1e3);
         figures.add("datagrams that a socket did not take", "datagrams", hollow.unsent());
     }
 
