--- a/lab/src/main/java/dockrelay/lab/scale/ScaleCommand.java
+++ b/lab/src/main/java/dockrelay/lab/scale/ScaleCommand.java
@@ -34,9 +34,9 @@
         long began = System.nanoTime();
         ScaleSpec spec = ScaleSpec.read(file, role == null ? null : Roles.of(role), quick);
         try {
-            ScaleResult result = new ScaleRun(spec, text -> System.err.printf("%6.1f s  %s%n",
-                (System.nanoTime() - began) / 1e9, text)).play(root, note);
             Path to = out.resolve("scale.json");
+            ScaleResult result = new ScaleRun(spec, text -> System.err.printf("%6.1f s  %s%n",
+                (System.nanoTime() - began) / 1e9, text)).play(root, note, part -> part.write(to));
             result.write(to);
             System.out.print(Tables.plain(result));
             System.out.println("figures: " + to);
--- a/lab/src/main/java/dockrelay/lab/scale/ScaleResult.java
+++ b/lab/src/main/java/dockrelay/lab/scale/ScaleResult.java
@@ -14,10 +14,10 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
-/** All that a run has measured, as {@code scale.json} has it. */
+/** All that a run has measured, as {@code scale.json} has it; cut short where sizes were still to come. */
 public record ScaleResult(Map<String, Object> build, Map<String, Object> machine, String when, String spec,
-                          String note, long seed, List<Figure> figures, List<Refusal> refused,
-                          List<Slope> slopes) {
+                          String note, long seed, boolean cutShort, List<Figure> figures,
+                          List<Refusal> refused, List<Slope> slopes) {
     private static final ObjectMapper JSON = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT)
         .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
         .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
--- a/lab/src/main/java/dockrelay/lab/scale/ScaleRun.java
+++ b/lab/src/main/java/dockrelay/lab/scale/ScaleRun.java
@@ -1,6 +1,7 @@
 package dockrelay.lab.scale;
 
 import dockrelay.lab.scale.ScaleResult.Refusal;
+import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
@@ -13,6 +14,11 @@
 public final class ScaleRun {
     private static final int MOST_PROCESSES = 200;
 
+    /** Takes what there is after each size, so that a run that is ended leaves what it has measured. */
+    interface Partial {
+        void take(ScaleResult result) throws IOException;
+    }
+
     private final ScaleSpec spec;
     private final long memory;
     private final Progress progress;
@@ -47,7 +53,7 @@
     }
 
     /** Measures all; a size that the code does not take is noted as refused and the rest goes on. */
-    public ScaleResult play(Path root, String note) throws Exception {
+    ScaleResult play(Path root, String note, Partial partial) throws Exception {
         check();
         Map<String, Object> machine = Machine.described(), build = Source.of(root);
         machine.put("load_before", Machine.load());
@@ -69,9 +75,11 @@
                     break;
                 }
             }
+            machine.put("load_after", Machine.load());
+            partial.take(new ScaleResult(build, Map.copyOf(machine), when, spec.name(), note, spec.seed(),
+                true, List.copyOf(figures), List.copyOf(refused), ScaleResult.slopes(figures)));
         }
-        machine.put("load_after", Machine.load());
-        return new ScaleResult(build, machine, when, spec.name(), note, spec.seed(), figures, refused,
+        return new ScaleResult(build, machine, when, spec.name(), note, spec.seed(), false, figures, refused,
             ScaleResult.slopes(figures));
     }
 }
--- a/lab/src/main/java/dockrelay/lab/scale/Tables.java
+++ b/lab/src/main/java/dockrelay/lab/scale/Tables.java
@@ -72,6 +72,7 @@
             + "; load " + result.machine().get("load_before") + " before and "
             + result.machine().get("load_after") + " after; seed " + result.seed() + "; plays "
             + result.figures().stream().mapToInt(Figure::play).max().orElse(0) + "."
+            + (result.cutShort() ? " Cut short: larger sizes were not played." : "")
             + (result.note().isEmpty() ? "" : " " + result.note());
     }
 
--- a/lab/src/main/java/dockrelay/lab/scale/members/GroupMember.java
+++ b/lab/src/main/java/dockrelay/lab/scale/members/GroupMember.java
@@ -50,7 +50,7 @@
         }
     };
 
-    /** The same for all who were given the same list: one object for all in a process, as each has its own. */
+    /** The same for all who were given the same list: one object for all of them in this process. */
     private static final Map<Layout, Grouping> GROUPINGS = new WeakHashMap<>();
 
     private final Groups machine;
--- a/lab/src/test/java/dockrelay/lab/scale/CapacityPageTest.java
+++ b/lab/src/test/java/dockrelay/lab/scale/CapacityPageTest.java
@@ -27,7 +27,7 @@
         }
         return new ScaleResult(Map.of("commit", "0123456789", "dirty", false), Map.of("cores", 8,
             "memory_mb", 100, "java", "17", "load_before", 0.5, "load_after", 1.5), when, "members.toml", "",
-            1, figures, List.of(), ScaleResult.slopes(figures));
+            1, false, figures, List.of(), ScaleResult.slopes(figures));
     }
 
     @Test
--- a/lab/src/test/java/dockrelay/lab/scale/ScaleRunTest.java
+++ b/lab/src/test/java/dockrelay/lab/scale/ScaleRunTest.java
@@ -53,7 +53,8 @@
     @Test
     void whatWouldPassHalfOfTheMemoryIsRefusedInOneLineWithTheFigure() {
         ScaleRun run = new ScaleRun(spec("sizes = [100, 513]"), MEMORY, line -> { });
-        RefusedException refused = assertThrows(RefusedException.class, () -> run.play(Path.of("."), ""));
+        RefusedException refused = assertThrows(RefusedException.class,
+            () -> run.play(Path.of("."), "", part -> { }));
         assertEquals("x.toml: doubling at 513 would take 513 MiB; allowed is half of this machine's memory, "
             + "512 MiB: take smaller sizes", refused.getMessage());
         assertEquals(0, role.played, "nothing runs first");
@@ -62,7 +63,8 @@
     @Test
     void tooManyProcessesAreRefused() {
         ScaleRun run = new ScaleRun(spec("sizes = [100]\n[doubling]\nprocesses = 201"), MEMORY, line -> { });
-        RefusedException refused = assertThrows(RefusedException.class, () -> run.play(Path.of("."), ""));
+        RefusedException refused = assertThrows(RefusedException.class,
+            () -> run.play(Path.of("."), "", part -> { }));
         assertEquals("x.toml: doubling at 100 would take 201 processes; allowed are 200: take smaller sizes",
             refused.getMessage());
     }
@@ -82,8 +84,12 @@
     @Test
     void theResultHoldsFiguresFitsAndWhatWasRefusedAndIsReadBackAlike(@TempDir Path folder) throws Exception {
         List<String> lines = new ArrayList<>();
+        List<ScaleResult> parts = new ArrayList<>();
         ScaleResult result = new ScaleRun(spec("sizes = [50, 100, 200, 400, 401]\nplays = 2\nseed = 7"),
-            MEMORY, lines::add).play(Path.of("."), "beside nothing");
+            MEMORY, lines::add).play(Path.of("."), "beside nothing", parts::add);
+        assertEquals(5, parts.size(), "one after each size");
+        assertTrue(parts.get(1).cutShort() && Tables.markdown(parts).contains("Cut short"));
+        assertFalse(result.cutShort());
         assertEquals(8, result.figures().size());
         assertEquals(List.of(new Refusal("doubling", 401, "401 things; allowed are 1 to 400")),
             result.refused());
