Measure the heap in a scenario of its own, so that the others play side by side

Need: the quiet scenario of 5,700 took nine minutes alone on a busy machine, only for the heap that it measured at its beginning.

Change: scenario heap; each scenario tells its figures as it ends. Measured: ScaleRunTest and VirtualFleetTest pass.

--- a/lab/src/main/java/dockrelay/lab/scale/members/MembersRole.java
+++ b/lab/src/main/java/dockrelay/lab/scale/members/MembersRole.java
@@ -120,8 +120,8 @@
         if (size > numbers(spec).get("long_up_to")) {
             scenarios.removeAll(LONGEST);
         }
-        if (scenarios.remove(Scenario.QUIET)) { // first and alone: what it holds is measured
-            all.addAll(one(spec, kind, layout, Scenario.QUIET, size, play, progress));
+        if (scenarios.remove(Scenario.HEAP)) { // first and alone: what it holds is measured
+            all.addAll(one(spec, kind, layout, Scenario.HEAP, size, play, progress));
         }
         scenarios.sort(Comparator.comparing(scenario -> !LONGEST.contains(scenario)));
         ExecutorService threads = Executors.newFixedThreadPool(threads(spec));
@@ -144,9 +144,13 @@
         long began = System.nanoTime();
         Figures figures = new Figures(name(), size, "virtual", play);
         scenario.play(new Play(kind, layout, numbers(spec), spec.seed() * 1_000 + play * 10L
-            + scenario.ordinal(), scenario == Scenario.QUIET), figures);
+            + scenario.ordinal()), figures);
         progress.line(String.format(Locale.ROOT, "members %d: %s took %.1f s", size, scenario.word(),
             (System.nanoTime() - began) / 1e9));
+        for (Figure figure : figures.all()) {
+            progress.line(String.format(Locale.ROOT, "members %d: %s: %.4g %s", size, figure.name(),
+                figure.value(), figure.unit()));
+        }
         return figures.all();
     }
 }
--- a/lab/src/main/java/dockrelay/lab/scale/members/Scenario.java
+++ b/lab/src/main/java/dockrelay/lab/scale/members/Scenario.java
@@ -14,16 +14,21 @@
 
 /** What befalls a virtual fleet, each from a fresh start and a seed of its own; times are virtual. */
 enum Scenario {
+    /** What the members hold; nothing else may run in this JVM meanwhile. */
+    HEAP {
+        @Override
+        void play(Play play, Figures figures) {
+            long before = heap();
+            VirtualFleet fleet = play.started(play.time("warm") / 2);
+            figures.add("heap of a member", "kB", (heap() - before) / 1e3 / fleet.count());
+        }
+    },
     /** Nothing at all: what it costs, and what of a budget is given out. */
     QUIET {
         @Override
         void play(Play play, Figures figures) {
-            long heapBefore = play.alone() ? heap() : 0;
             VirtualFleet fleet = play.warm(0);
             int n = fleet.count();
-            if (play.alone()) {
-                figures.add("heap of a member", "kB", (heap() - heapBefore) / 1e3 / n);
-            }
             ThreadMXBean threads = ManagementFactory.getThreadMXBean();
             long cpu = threads.getCurrentThreadCpuTime(), span = play.time("quiet");
             fleet.runUntil(fleet.now() + span);
