Ask one of a late group before asking many of it

Change: one is asked first; only where it does not answer, seven at once, which makes eight as before.

--- a/fleet/src/main/java/dockrelay/fleet/group/GroupAsker.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/GroupAsker.java
@@ -12,7 +12,7 @@
  * none is known or none answers.
  */
 final class GroupAsker {
-    private static final int MOST_MISSING = 4, AT_A_TIME = 4;
+    private static final int MOST_MISSING = 4, AT_A_TIME = 7;
     /** After so many questions in vain a group is silent; it is asked on, but not at once. */
     private static final int VAIN = 8;
 
@@ -68,10 +68,10 @@
         return tries[group] >= VAIN;
     }
 
-    /** One is asked; several at a time where the group has been heard of by nobody here for long. */
+    /** One is asked; many at a time where one has not answered and the group is late: it may be silent. */
     private void ask(long now, int group) {
         dueAt[group] = now + (long) (here.rhythm.round() * (0.95 + 0.1 * here.random.nextDouble()));
-        boolean late = here.table.unsure(now, group) > here.rhythm.late();
+        boolean late = tries[group] > 0 && here.table.unsure(now, group) > here.rhythm.late();
         List<Integer> missing = missing(now);
         for (int i = late && tries[group] < VAIN ? AT_A_TIME : 1; i > 0; i--) {
             String to = target(group);
