Let a thread end while a test reads which threads there are

Cause: PeersProcessTest listed the tasks of a process and read the name of each; one that ended between the two (the compiler's come and go) made it fail with NoSuchFileException, once in a run of all tests. Change: such a task is passed over, as for descriptors; the threads of peers, which it looks for, last as long as the process.

--- a/proxy/src/test/java/dockrelay/proxy/PeersProcessTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/PeersProcessTest.java
@@ -150,7 +150,11 @@
         Path tasks = Path.of("/proc", Long.toString(process.pid()), "task");
         List<String> all = new ArrayList<>();
         for (String task : names(tasks)) {
-            all.add(read(tasks.resolve(task).resolve("comm")).trim());
+            try {
+                all.add(Files.readString(tasks.resolve(task).resolve("comm")).trim());
+            } catch (java.nio.file.NoSuchFileException e) {
+                continue; // it ended meanwhile: one of the peers' lasts as long as the process
+            }
         }
         return all.stream().filter(name -> name.startsWith("peers")).collect(Collectors.toSet());
     }
