Break unending answers off 10 s past their time, no longer as it is up

Cause: RequestTable.endByItsTime broke off what had passed no 64 kB by its deadline, and long answers come in pieces with seconds between.

Change: 10 s later, as long as a body may stand still. The test of an answer without end holds as it is.

--- a/proxy/src/main/java/dockrelay/proxy/RequestTable.java
+++ b/proxy/src/main/java/dockrelay/proxy/RequestTable.java
@@ -61,6 +61,8 @@
     private static final long WINDOW_MARGIN = 10_000;
     private static final long WINDOW_MARGIN_PART = 10;
     private static final double MICROS = 1_000_000;
+    /** An answer is passed on for so long past its time: a body may stand still for as long. */
+    private static final long UNENDING = 10_000_000;
 
     private final EventLoop loop;
     private final BackendPool pool;
@@ -352,8 +354,9 @@
     }
 
     /**
-     * The last byte of all but a long answer is due in time: one that goes on for ever must not keep its
-     * client waiting for an end. The client sees that it was broken off.
+     * One that goes on for ever must not keep its client waiting for an end; the client sees that it was
+     * broken off. Not as soon as its time is up: a long answer may come in pieces with seconds between, and
+     * until 64 kB of it have come nothing tells the two apart.
      */
     private void endByItsTime(Pending p) {
         if (p.wholeAt == 0 || streaming.contains(p.request.serviceClass())) {
@@ -364,7 +367,7 @@
                 counters.add(Count.OVERDUE);
                 p.streaming.timeOut();
             }
-        }, Math.max(0, p.deadline - clock.getAsLong()), TimeUnit.MICROSECONDS);
+        }, Math.max(0, p.deadline - clock.getAsLong()) + UNENDING, TimeUnit.MICROSECONDS);
     }
 
     /** Whether a first byte may go out now that was decided on some time ago. */
--- a/proxy/src/test/java/dockrelay/proxy/BackendCrossingTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/BackendCrossingTest.java
@@ -191,15 +191,16 @@
         try (Deaf deaf = new Deaf()) {
             parts(0, (event, arguments) -> {
                 if ("onRequest".equals(event)) {
-                    decidedAt.set(System.nanoTime());
                     table.send("r", 1, 20_000_000);
+                    decidedAt.set(System.nanoTime()); // its time runs from before this on
                 } else {
                     table.fail("r");
                 }
             });
             learn(1, deaf.port(), true);
             take("r", "save");
-            Fakes.await("it has waited", () -> System.nanoTime() - decidedAt.get() > 50_000_000L);
+            Fakes.await("it has waited", () -> decidedAt.get() != 0
+                && System.nanoTime() - decidedAt.get() > 50_000_000L);
             long waited = System.nanoTime() - decidedAt.get();
             try (Socket late = deaf.open()) {
                 String told = new BufferedReader(new InputStreamReader(late.getInputStream(),
