Read what was known of the backends entry by entry, at a start and never at a reload

Change: `Config` reads its file as it comes; `KnownList` makes a member of each entry as soon as it is read (`EntryReader`, taken out of `Listing`, which reads discovery's entries by it too), gives them to the start once and keeps none. At SIGHUP `known` is passed over (`Config.readAgain`): only discovery and peers can move.

--- a/proxy/src/main/java/dockrelay/proxy/Config.java
+++ b/proxy/src/main/java/dockrelay/proxy/Config.java
@@ -3,16 +3,21 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
 import dockrelay.Balancer.Settings;
 import dockrelay.fleet.budget.Budget;
 import dockrelay.settings.Json;
 import dockrelay.settings.SettingException;
 import dockrelay.settings.SettingsReader;
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -24,7 +29,7 @@
  * nobody, and groups are null.
  */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-              int memory, Map<?, ?> known, Settings settings, long connectTimeout, long connectionIdle,
+              int memory, KnownList known, Settings settings, long connectTimeout, long connectionIdle,
               boolean retryAfter, InetSocketAddress console, InetSocketAddress peerListen,
               PeerDirectory peers, InetSocketAddress peersAll, PeerGroups groups, List<Budget> budgets,
               List<String> retired, Set<String> streaming) {
@@ -32,29 +37,54 @@
 
     /** Whatever is wrong is told in one line, with the file. */
     static Config read(Path file) throws ConfigException {
-        try {
-            return parse(Files.readString(file));
+        return read(file, true);
+    }
+
+    /** Beside a process that runs: it has a list of its own, and no room for another one. */
+    static Config readAgain(Path file) throws ConfigException {
+        return read(file, false);
+    }
+
+    private static Config read(Path file, boolean starts) throws ConfigException {
+        try (InputStream in = Files.newInputStream(file)) {
+            return read(in, starts);
         } catch (IOException | RuntimeException e) {
             throw new ConfigException(file, e);
         }
     }
 
     static Config parse(String text) throws IOException {
-        Object top;
-        try (JsonParser parser = new JsonFactory().createParser(text)) {
-            parser.nextToken();
-            top = Json.value(parser);
+        return read(new ByteArrayInputStream(text.getBytes(StandardCharsets.UTF_8)), true);
+    }
+
+    /** As it comes: a file that names all backends and tenants is larger than what is kept of it. */
+    private static Config read(InputStream in, boolean starts) throws IOException {
+        Map<String, Object> top = new LinkedHashMap<>();
+        KnownList known = new KnownList();
+        try (JsonParser parser = new JsonFactory().createParser(in)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw new SettingException("the whole", parser.currentToken() == null ? ""
+                    : Json.value(parser), "one JSON object");
+            }
+            while (parser.nextToken() == JsonToken.FIELD_NAME) {
+                String key = parser.currentName();
+                parser.nextToken();
+                if ("known".equals(key) && starts) {
+                    known = KnownList.read(parser);
+                } else if ("known".equals(key)) {
+                    parser.skipChildren();
+                } else {
+                    top.put(key, Json.value(parser));
+                }
+            }
         } catch (JsonProcessingException e) {
             throw new SettingException("line " + (e.getLocation() == null ? 1 : e.getLocation().getLineNr()),
-                text.isBlank() ? "" : e.getOriginalMessage(), "one JSON object");
-        }
-        if (top instanceof Map<?, ?> map) {
-            return of(map);
+                e.getOriginalMessage(), "one JSON object");
         }
-        throw new SettingException("the whole", top, "one JSON object");
+        return of(top, known);
     }
 
-    private static Config of(Map<?, ?> top) {
+    private static Config of(Map<?, ?> top, KnownList known) {
         Map<?, ?> settings = map(top, "settings");
         Map<?, ?> allowed = map(settings, "Permissions");
         PeerDirectory peers = peers(top);
@@ -66,7 +96,7 @@
             address("discovery", text(top, "discovery")),
             seed(text(top, "seed")), within(map(top, "limits"), "limits.", "sockets", 1024, 34),
             within(map(top, "limits"), "limits.", "memory_mb", 192, 16),
-            map(top, "known"), read,
+            known, read,
             (long) (number(allowed, "ConnectTimeout", 0.25) * MICROS),
             (long) (number(allowed, "ConnIdle", 15) * MICROS),
             !Boolean.FALSE.equals(allowed.get("RetryAfter")), maybe(top, "console"),
--- a/proxy/src/main/java/dockrelay/proxy/Discovery.java
+++ b/proxy/src/main/java/dockrelay/proxy/Discovery.java
@@ -55,9 +55,9 @@
     }
 
     /** Hands on the list that the proxy last had, as the first the module hears, and starts to watch. */
-    void start(Map<?, ?> cached) {
-        version = (long) Config.number(cached, "version", -1);
-        tell(ListScope.CACHED, listing.take(Config.list(cached, "servers"), true));
+    void start(KnownList cached) {
+        version = cached.version();
+        tell(ListScope.CACHED, listing.take(cached.take(), true));
         if (asked) { // the module asks sooner than that, unless its settings let it wait longer
             loop.schedule(this::subscribe, ListClock.MOST_APART, TimeUnit.MILLISECONDS);
         } else {
--- a/proxy/src/main/java/dockrelay/proxy/ListParser.java
+++ b/proxy/src/main/java/dockrelay/proxy/ListParser.java
@@ -20,7 +20,8 @@
  */
 final class ListParser {
     private static final JsonFactory JSON = new JsonFactory();
-    private static final String ENTRIES = "servers";
+    /** The key under which a list has its entries. */
+    static final String ENTRIES = "servers";
     /** One entry, and what stands between two, is not longer than that. */
     private static final int LONGEST_ENTRY = 1 << 20;
     /** Three times what the operators expect; without a bound a list without end would take all memory. */
--- a/proxy/src/main/java/dockrelay/proxy/Listing.java
+++ b/proxy/src/main/java/dockrelay/proxy/Listing.java
@@ -5,13 +5,11 @@
 import dockrelay.proxy.RequestTable.Member;
 import io.netty.util.collection.LongObjectHashMap;
 import io.netty.util.collection.LongObjectMap;
-import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Set;
 import java.util.function.IntFunction;
 import java.util.function.ToLongFunction;
@@ -25,22 +23,17 @@
  * listed anew it stands elsewhere in the order there, which moves a window by one backend at the most.
  */
 final class Listing {
-    /** What an entry says where it says all; what a change leaves out stays as it was. */
-    private static final List<String> KEYS = List.of("zone", "kind", "addr", "cell", "weight", "started_ms");
-    /** Zones and kinds are few: words past so many are not shared. */
-    private static final int MOST_WORDS = 1_000;
-
     private final Operators operators;
     private final ToLongFunction<String> numbers;
     private final IntFunction<LongObjectMap<Member>> maps;
     private final Map<String, Long> apart = new HashMap<>(); // those whose own number was another's
-    private final Map<String, String> words = new HashMap<>();
+    private final EntryReader entries = new EntryReader();
     private final Set<String> withheld = new HashSet<>(); // ready by the list, but not by the operators
     private LongObjectMap<Member> known;
     private int ready; // by the list
 
     Listing(Operators operators) {
-        this(operators, Listing::number, Listing::map);
+        this(operators, EntryReader::number, Listing::map);
     }
 
     /** With other numbers of names, and with other maps. */
@@ -57,14 +50,6 @@
         return new LongObjectHashMap<>((int) (size / filled) + LongObjectHashMap.DEFAULT_CAPACITY, filled);
     }
 
-    private static long number(String name) {
-        long hash = 0xcbf29ce484222325L; // FNV-1a
-        for (int i = 0; i < name.length(); i++) {
-            hash = (hash ^ name.charAt(i)) * 0x100000001b3L;
-        }
-        return hash;
-    }
-
     /** The number that a name has, or would have if nobody else had it. */
     private long id(String name) {
         Long other = apart.isEmpty() ? null : apart.get(name);
@@ -112,7 +97,7 @@
      */
     Object read(Map<?, ?> entry) {
         try {
-            return entry.keySet().containsAll(KEYS) ? member(entry) : entry;
+            return EntryReader.whole(entry) ? member(entry) : entry;
         } catch (RuntimeException e) {
             return entry; // it is told of when it is taken
         }
@@ -186,29 +171,8 @@
             as.weight(), as.startedAt()), member.address());
     }
 
-    /** An entry; what a change leaves out stays as it was, and what is as it was is the same object. */
     private Member member(Map<?, ?> entry) {
         String name = Config.text(entry, "id");
-        Member before = get(name);
-        Backend old = before == null ? new Backend(id(name), "", "", 0, Phase.GONE, 1, 0) : before.backend();
-        String zone = entry.get("zone") instanceof String text ? shared(text) : old.zone();
-        String kind = entry.get("kind") instanceof String text ? shared(text) : old.kind();
-        Phase phase = switch (String.valueOf(entry.get("state"))) {
-            case "active" -> Phase.READY;
-            case "left" -> Phase.GONE;
-            default -> Phase.DRAINING; // an unknown word gets the most caution
-        };
-        Backend backend = new Backend(old.id(), zone, kind, (long) Config.number(entry, "cell", old.cell()),
-            phase, Config.number(entry, "weight", old.weight()),
-            (long) (Config.number(entry, "started_ms", old.startedAt() / 1000.0) * 1000));
-        SocketAddress listed = before == null ? null : before.address();
-        SocketAddress address = entry.get("addr") instanceof String text ? Endpoint.of(text) : listed;
-        boolean same = before != null && backend.equals(old) && Objects.equals(address, listed);
-        return same ? before : new Member(before == null ? name : before.name(), backend, address);
-    }
-
-    private String shared(String word) {
-        return words.size() < MOST_WORDS ? words.computeIfAbsent(word, same -> same)
-            : words.getOrDefault(word, word);
+        return entries.member(entry, get(name), id(name));
     }
 }
--- a/proxy/src/main/java/dockrelay/proxy/Proxy.java
+++ b/proxy/src/main/java/dockrelay/proxy/Proxy.java
@@ -257,7 +257,7 @@
      * move. */
     void reload(Path file) {
         try {
-            Config next = Config.read(file);
+            Config next = Config.readAgain(file);
             loop.execute(() -> discovery.move(next.discovery()));
             if (members != null && next.membership()) {
                 members.configure(next);
--- /dev/null
+++ b/proxy/src/test/java/dockrelay/proxy/KnownListTest.java
@@ -0,0 +1,132 @@
+package dockrelay.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockrelay.proxy.Fakes.BackendFake;
+import dockrelay.proxy.Fakes.ClientFake;
+import dockrelay.proxy.Fakes.DiscoveryFake;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What the configuration says was known is never there as it is written, however many it names. */
+class KnownListTest {
+    private static final int MANY = 86_000;
+
+    private static KnownList known(String value) {
+        return Fakes.parsed(Fakes.text(0, 1, 1024, "", "").replaceFirst("\"known\":\\{[^}]*\\}",
+            "\"known\":" + value)).known();
+    }
+
+    @Test
+    void eachEntryIsAMemberAsSoonAsItIsRead() {
+        String one = Fakes.entry("s-1", 81, "active"), two = Fakes.entry("s-2", 82, "draining");
+        KnownList known = known("{\"servers\":[" + one + "," + two + ",{\"id\":\"s-3\"},7],\"version\":9}");
+        List<Object> entries = known.take();
+        assertEquals(9, known.version());
+        assertInstanceOf(RequestTable.Member.class, entries.get(0));
+        assertInstanceOf(RequestTable.Member.class, entries.get(1));
+        assertEquals(Map.of("id", "s-3"), entries.get(2), "what says too little is judged when it is taken");
+        assertEquals(7L, entries.get(3));
+        assertTrue(known.take().isEmpty(), "it is kept for nobody");
+
+        Listing listing = new Listing(new Operators(null));
+        listing.take(entries, true);
+        RequestTable.Member first = listing.get("s-1");
+        assertEquals(entries.get(0), first);
+        assertEquals(first, listing.read(Map.of("id", "s-1", "zone", first.backend().zone(), "kind",
+            first.backend().kind(), "addr", "127.0.0.1:81", "cell", first.backend().cell(), "weight",
+            first.backend().weight(), "started_ms", first.backend().startedAt() / 1000, "state", "active")),
+            "discovery's word for it is the same object");
+    }
+
+    @Test
+    void whatIsNoListNamesNobody() {
+        for (String value : List.of("7", "[{}]", "{}", "{\"servers\":{\"id\":\"s-1\"},\"version\":\"x\"}",
+            "null")) {
+            KnownList known = known(value);
+            assertEquals(-1, known.version(), value);
+            assertTrue(known.take().isEmpty(), value);
+        }
+    }
+
+    @Test
+    void aRunningProxyReadsNoneOfIt(@TempDir Path folder) throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, Fakes.text(0, 1, 1024, Fakes.entry("s-1", 81, "active"), ""));
+        assertEquals(1, Config.read(file).known().take().size());
+        assertTrue(Config.readAgain(file).known().take().isEmpty());
+    }
+
+    /** As a process with the heap that `run` has: it starts with them, serves, and lives through a reload. */
+    @Test
+    void aStartWithAllBackendsOfALargeFleetKnownFitsTheHeap(@TempDir Path folder) throws Exception {
+        int port;
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = any.getLocalPort();
+        }
+        try (BackendFake backend = new BackendFake(request -> Fakes.answer("200 OK", "", "one"));
+             DiscoveryFake away = new DiscoveryFake(); DiscoveryFake next = new DiscoveryFake()) {
+            away.refuse = true;
+            next.first(DiscoveryFake.list(2, true, Fakes.entry("s-1", backend.port(), "active")));
+            String all = IntStream.range(0, MANY).mapToObj(i -> Fakes.entry("s-" + i, backend.port(),
+                "active")).collect(Collectors.joining(","));
+            Path file = folder.resolve("config.json");
+            Files.writeString(file, Fakes.text(port, away.port(), 1024, all, ""));
+            Process process = start(file, folder);
+            try {
+                Fakes.await("it serves", () -> !process.isAlive() || answers(port));
+                assertTrue(process.isAlive(), () -> log(folder));
+                Files.writeString(file, Fakes.text(port, next.port(), 1024, all, ""));
+                new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+                Fakes.await("the next discovery's list is there", () -> !process.isAlive()
+                    || log(folder).contains("list of version 2, entries 1"));
+                assertTrue(process.isAlive() && answers(port), () -> log(folder));
+                assertFalse(log(folder).contains("OutOfMemory"), () -> log(folder));
+            } finally {
+                process.destroyForcibly().waitFor();
+            }
+        }
+    }
+
+    private static Process start(Path file, Path folder) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(
+            ProcessHandle.current().info().command().orElseThrow(), "-Xms64m", "-Xmx64m", "-Xmn24m",
+            "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:+ExitOnOutOfMemoryError", "-cp",
+            System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+            Main.class.getName(), "serve");
+        builder.environment().put("PROXY_CONFIG", file.toString());
+        builder.environment().remove("TMPDIR");
+        builder.redirectErrorStream(true).redirectOutput(new File(folder.toFile(), "log"));
+        return builder.start();
+    }
+
+    private static boolean answers(int port) {
+        try (ClientFake client = new ClientFake(new Socket(InetAddress.getLoopbackAddress(), port))) {
+            return client.send(ClientFake.get("4.0")).status() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private static String log(Path folder) {
+        try {
+            return Files.readString(folder.resolve("log"));
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+}
