End what a dead lab left only once where two labs start at a time

Change: the list of leftovers and the ending of each are steps of their own; a list that is gone when it is read or deleted was another lab's to end.

--- a/lab/src/main/java/dockrelay/lab/process/Leftovers.java
+++ b/lab/src/main/java/dockrelay/lab/process/Leftovers.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.time.Instant;
@@ -12,9 +13,8 @@
 
 /**
  * Remembers in files which processes the lab has started, so that those of a lab that was killed can be
- * named and
- * ended by a later one. A process is known by its id and start time: an id alone may be somebody else's by
- * then.
+ * named and ended by a later one. A process is known by its id and start time: an id alone may be somebody
+ * else's by then.
  */
 public final class Leftovers {
     private final Path folder, own;
@@ -46,22 +46,42 @@
     /** Ends what labs left behind that are no more; returns the ids of what was still there. */
     public List<Long> end() throws IOException {
         List<Long> found = new ArrayList<>();
+        for (Path file : left()) {
+            found.addAll(end(file));
+        }
+        return found;
+    }
+
+    /** The lists of labs that are no more; one that runs sees to its own. */
+    List<Path> left() throws IOException {
+        List<Path> left = new ArrayList<>();
         try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, "lab-*")) {
             for (Path file : files) {
-                String[] owner = file.getFileName().toString().substring("lab-".length()).split("-");
-                if (find(owner) != null) {
-                    continue; // it runs still and sees to its own
-                }
-                for (String line : Files.readAllLines(file)) {
-                    ProcessHandle process = find(line.split(" "));
-                    if (process != null) {
-                        found.add(process.pid());
-                        process.destroyForcibly();
-                    }
+                if (find(file.getFileName().toString().substring("lab-".length()).split("-")) == null) {
+                    left.add(file);
                 }
-                Files.delete(file);
             }
         }
+        return left;
+    }
+
+    /** Ends what such a list names; nothing where another lab has done so meanwhile. */
+    List<Long> end(Path file) throws IOException {
+        List<Long> found = new ArrayList<>();
+        List<String> lines;
+        try {
+            lines = Files.readAllLines(file);
+        } catch (NoSuchFileException e) {
+            return found;
+        }
+        for (String line : lines) {
+            ProcessHandle process = find(line.split(" "));
+            if (process != null) {
+                found.add(process.pid());
+                process.destroyForcibly();
+            }
+        }
+        Files.deleteIfExists(file);
         return found;
     }
 
