Tell a member that came back with a lower incarnation what it had before

Cause: a process that is back before anybody misses it, and without its file, goes by a lower incarnation than the others know. Membership.receive does not introduce it, gossip tells a member of itself only where it is held away, suspect or doubled, and its words count as older than those held: it is held present and heard by nobody.

Change: who goes by a lower incarnation than it had is told the higher one, as present, in each answer; it takes a higher one still. A late datagram of the same process tells it nothing new.

--- a/fleet/src/main/java/dockrelay/fleet/Member.java
+++ b/fleet/src/main/java/dockrelay/fleet/Member.java
@@ -9,6 +9,7 @@
     long differsSince = -1, clashAt, askedAt = Long.MIN_VALUE / 2;
     int life, lastLife, lifeBefore, clashes; // a life is 0 while that of its incarnation is not known
     boolean doubled, hearsay;
+    boolean behind; // it goes by a lower incarnation than it once had, which others still know
     String by;
     Suspicion suspicion;
 
--- a/fleet/src/main/java/dockrelay/fleet/Membership.java
+++ b/fleet/src/main/java/dockrelay/fleet/Membership.java
@@ -400,6 +400,7 @@
         boolean fresh = question != null && question.to == sender;
         // Guards against late datagrams meant for the process before this one: it knew what they are worth.
         boolean mine = head.to() == life;
+        sender.behind = head.incarnation() < sender.incarnation;
         if (head.incarnation() >= sender.incarnation && (mine || fresh)) {
             introduce(now, sender, head, fresh);
         } else if (!mine && (sender.state == State.JOINING || sender.state.away())) {
@@ -563,6 +564,9 @@
             entries.add(new Entry(to.id, State.SUSPECT, to.incarnation, me.id));
         } else if (to.state == State.SUSPECT || to.state.away()) {
             entries.add(entry(to));
+        } else if (to.behind) {
+            // Restarted before it was missed, and without its folder: until it knows, its words are old ones.
+            entries.add(new Entry(to.id, State.PRESENT, to.incarnation, me.id));
         }
         entries.addAll(gossip.next(MOST_ENTRIES - entries.size(), members.size()));
         datagram.entries(entries, 0, MOST_ENTRIES);
--- a/fleet/src/test/java/dockrelay/fleet/MembershipTest.java
+++ b/fleet/src/test/java/dockrelay/fleet/MembershipTest.java
@@ -2,6 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -42,6 +44,24 @@
         assertEquals(List.of(), broken.stream().limit(20).toList(), broken.size() + " are broken");
     }
 
+    /** Back before anybody missed it, without its folder: it is told what it was, and is heard again. */
+    @Test
+    void oneThatRestartsAtOnceWithALowerIncarnationIsTold() {
+        for (int members : new int[] {2, 3, 12, 48}) {
+            Simulation world = new Simulation(members, members, Membership::new, false);
+            world.names.forEach(name -> world.start(name, 5));
+            world.runUntil(10 * VirtualNetwork.SECOND);
+            assertNull(world.disagreement());
+            world.kill("n1");
+            world.runUntil(world.now + 100 * VirtualNetwork.MILLI);
+            world.start("n1", 1);
+            world.runUntil(world.now + 8 * VirtualNetwork.SECOND);
+            assertNull(world.disagreement(), members + " members");
+            assertTrue(world.incarnations.get("n1") > 5, "it goes by a higher one than it ever had");
+            assertEquals(0, world.falselyGone);
+        }
+    }
+
     /** A check that cannot fail proves nothing: members that are broken in one way each are found out. */
     @Test
     void eachBrokenMemberIsFoundOut() {
--- a/fleet/src/test/java/dockrelay/fleet/group/FleetSchedule.java
+++ b/fleet/src/test/java/dockrelay/fleet/group/FleetSchedule.java
@@ -202,7 +202,7 @@
     private void kill(long at, String name) {
         at(at, () -> world.kill(name));
         if (random.nextInt(4) > 0) {
-            restart(at + 500 * MILLI + random.nextInt((int) (8 * SECOND)), name);
+            restart(at + 20 * MILLI + random.nextInt((int) (8 * SECOND)), name);
         }
     }
 
