Refuse budgets among more names than a list holds, by their number

Need: among more than 128 names no keeper was ever agreed on, and nothing said so: a list of 129 does not fit what the members send each other, and whoever read it took it for cut (budgets.toml, 200 names, waited 60 s).

The proxy's own groups hold 128 at the most, so nothing changes there.

--- a/fleet/src/main/java/dockrelay/fleet/budget/BudgetException.java
+++ b/fleet/src/main/java/dockrelay/fleet/budget/BudgetException.java
@@ -5,7 +5,7 @@
     private static final long serialVersionUID = 1L;
 
     /** What an operator finds in docs/on-call.md. */
-    public enum Code { NAME, RATE, BURST, TWICE, TOO_MANY }
+    public enum Code { NAME, RATE, BURST, TWICE, TOO_MANY, MEMBERS }
 
     private final Code code;
 
--- a/fleet/src/main/java/dockrelay/fleet/budget/Budgets.java
+++ b/fleet/src/main/java/dockrelay/fleet/budget/Budgets.java
@@ -57,7 +57,7 @@
         this.pace = pace;
         this.random = random;
         this.actions = actions;
-        this.roster = new Roster(names);
+        this.roster = roster(names);
         this.budgets = checked(budgets);
         this.voter = voter(this.self, life, pace, now);
         this.authority = authority(this.self, life, pace, voter, roster, random, this::send, now);
@@ -85,6 +85,15 @@
         return new Ledger(of, term, at, now);
     }
 
+    /** A list of more would never be agreed on: it does not fit what the members send each other. */
+    private static Roster roster(Collection<String> names) {
+        if (names.size() > Message.MOST_NAMES) {
+            throw new BudgetException(BudgetException.Code.MEMBERS, names.size()
+                + " members that share budgets", "allowed are " + Message.MOST_NAMES + " in one group");
+        }
+        return new Roster(names);
+    }
+
     private static Collection<Budget> checked(Collection<Budget> budgets) {
         Set<Integer> ids = new HashSet<>();
         for (Budget budget : budgets) {
@@ -103,7 +112,7 @@
     /** Goes by other names and budgets; the names that vote are agreed by all, not configured. */
     public void configure(long now, Collection<String> names, Collection<Budget> next) {
         Collection<Budget> usable = checked(next);
-        roster = new Roster(names);
+        roster = roster(names);
         authority.roster(roster);
         if (!usable.equals(budgets)) {
             budgets = usable;
--- a/fleet/src/test/java/dockrelay/fleet/budget/BudgetsTest.java
+++ b/fleet/src/test/java/dockrelay/fleet/budget/BudgetsTest.java
@@ -1,11 +1,15 @@
 package dockrelay.fleet.budget;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assertions.fail;
 
 import dockrelay.fleet.budget.BudgetWorld.Broken;
 import dockrelay.fleet.budget.BudgetWorld.Process;
+import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
@@ -13,6 +17,7 @@
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.function.Executable;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -23,6 +28,23 @@
     private static final BudgetWorld.Maker SOUND = (self, names, budgets, life, random, actions, now) ->
         new Budgets(self, names, budgets, life, BudgetPace.USUAL, random, actions, now);
 
+    private static final Budgets.Actions NOBODY = new Budgets.Actions() {
+        @Override
+        public void send(String to, ByteBuffer datagram) {
+            // nobody is there
+        }
+
+        @Override
+        public void parts(long telling, List<Part> parts, long until) {
+            // nothing is spent
+        }
+
+        @Override
+        public void news(String text) {
+            // nobody listens
+        }
+    };
+
     private static final Pattern BEYOND = Pattern.compile("spent than the whole|parts add up to");
 
     static String played(long seed, BudgetWorld.Maker maker, boolean traced) {
@@ -34,6 +56,20 @@
         }
     }
 
+    /** A list of 129 does not fit what they send each other: no keeper would ever be agreed on. */
+    @Test
+    void moreMembersThanAListHoldsAreRefusedByTheirNumber() {
+        List<String> most = IntStream.range(0, 128).mapToObj(i -> "n" + i).toList();
+        List<String> more = IntStream.range(0, 129).mapToObj(i -> "n" + i).toList();
+        Budgets machine = SOUND.make("n0", most, List.of(), 1, new Random(1), NOBODY, 0);
+        for (Executable refused : List.<Executable>of(() -> machine.configure(1, more, List.of()),
+            () -> SOUND.make("n0", more, List.of(), 1, new Random(1), NOBODY, 0))) {
+            BudgetException wrong = assertThrows(BudgetException.class, refused);
+            assertEquals("B-MEMBERS: 129 members that share budgets; allowed are 128 in one group",
+                wrong.getMessage());
+        }
+    }
+
     @Test
     void nothingIsEverSpentBeyondTheWhole() {
         String one = System.getProperty("budget.schedule");
