--- a/lab/src/main/java/dockrelay/lab/scale/members/Scenario.java
+++ b/lab/src/main/java/dockrelay/lab/scale/members/Scenario.java
@@ -18,6 +18,7 @@
     HEAP {
         @Override
         void play(Play play, Figures figures) {
+            play.started(VirtualFleet.SECOND); // what is loaded and kept once is no member's
             long before = heap();
             VirtualFleet fleet = play.started(play.time("warm") / 2);
             figures.add("heap of a member", "kB", (heap() - before) / 1e3 / fleet.count());
