Tell groups in brief: leave out counts that follow, and say once who hears nothing of whom

With a zone lost each of 100 groups tells one by one that it hears nothing of the same 17.

Change: a row leaves out the counts that follow from the names of its group (nobody left, the rest present, all of these counted and agreeing): four bytes for a settled group in place of eight. Groups that hear nothing of the same ones, by words of about one age, are told with two sets of bits and the highest age, which is never under-stated. Who asks says that it reads both; to an older program all is told as before, and what it sends is read as ever.

--- a/fleet/src/main/java/dockrelay/fleet/group/Message.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/Message.java
@@ -8,6 +8,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 
 /** What was read of a datagram between groups or within one; docs/membership.md has the format. */
@@ -15,9 +16,15 @@
     static final byte MAGIC = (byte) 0xd7, SECOND = 0x52, VERSION = 1;
     /** The sections; others are passed over. */
     static final byte MISSING = 1, SUMMARY = 2, SILENT = 3, RELAYED = 4, SINCE = 5, UP_TO = 6, AGES = 7,
-        ROWS = 8, SILENT_TO = 9, NAME = 10, MEMBER = 11;
+        ROWS = 8, SILENT_TO = 9, NAME = 10, MEMBER = 11, SILENT_ALIKE = 12;
     /** A row's flags beside its agreement: by its key, and by another list than its teller's. */
     static final int AGREEMENT = 3, KEYED = 4, OTHER_LIST = 8;
+    /** What a row leaves out as it follows: nobody left, the rest is present, all those count, all agree. */
+    static final int NONE_LEFT = 16, REST_PRESENT = 32, PRESENT_COUNT = 64, PRESENT_AGREE = 128;
+    /** A count that was left out. */
+    static final int FOLLOWS = -1;
+    /** Of who asks for a table: to be told to whom groups hear nothing; that it reads what is brief. */
+    static final int WANTS_SILENT = 1, READS_BRIEF = 2;
     /** Ages in units of a rhythm: the last ones mean something else. */
     static final int OLDEST = 252, NONE = 253, OLD = 254, OUT = 255;
 
@@ -44,9 +51,20 @@
     record Aged(Summary summary, long age) {
     }
 
-    /** A changed row of a table; the key is 0 where it goes by the teller's order, which the asker shares. */
+    /**
+     * A changed row of a table; the key is 0 where it goes by the teller's order, which the asker shares.
+     * Such a one may leave out counts that follow from the others and from how many names the group has.
+     */
     record Told(int index, int key, boolean otherList, int list, int hash, int present, int left, int gone,
                 int counted, Agreement agreement, int agreeing, int speaker) {
+        /** With all counts, of a group of so many names. */
+        Told whole(int names) {
+            int none = left == FOLLOWS ? 0 : left;
+            int there = present == FOLLOWS ? Math.max(0, names - none - gone) : present;
+            return new Told(index, key, otherList, list, hash, there, none, gone,
+                counted == FOLLOWS ? there : counted, agreement, agreeing == FOLLOWS ? there : agreeing,
+                speaker);
+        }
     }
 
     /** To whom a group hears nothing, both in the teller's order, and how long ago at the most, in units. */
@@ -61,7 +79,7 @@
     final List<Aged> relayed = new ArrayList<>();
     int epoch;
     long version;
-    boolean speaker, more;
+    boolean wantsSilent, readsBrief, more;
     byte[] ages;
     final List<Told> rows = new ArrayList<>();
     final List<SilentTo> silentTo = new ArrayList<>();
@@ -121,7 +139,9 @@
             case SINCE -> {
                 epoch = in.getInt();
                 version = Numbers.get(in);
-                speaker = in.get() != 0;
+                int flags = in.get();
+                wantsSilent = (flags & WANTS_SILENT) != 0;
+                readsBrief = (flags & READS_BRIEF) != 0;
             }
             case UP_TO -> {
                 epoch = in.getInt();
@@ -135,6 +155,7 @@
                 }
             }
             case SILENT_TO -> silentTo(in);
+            case SILENT_ALIKE -> silentAlike(in);
             case NAME -> name = text(in);
             case MEMBER -> member = member(in);
             default -> { } // one of a later program
@@ -160,8 +181,14 @@
         int key = keyed ? in.getInt() : 0;
         int list = other ? in.getInt() : 0;
         int hash = keyed || other ? in.getInt() : 0;
-        return new Told(index, key, other, list, hash, number(in), number(in), number(in), number(in),
-            Agreement.values()[flags & AGREEMENT], number(in), keyed || other ? in.getInt() : number(in));
+        int follows = keyed || other ? 0 : flags;
+        int present = (follows & REST_PRESENT) != 0 ? FOLLOWS : number(in);
+        int left = (follows & NONE_LEFT) != 0 ? FOLLOWS : number(in);
+        int gone = number(in);
+        int counted = (follows & PRESENT_COUNT) != 0 ? FOLLOWS : number(in);
+        int agreeing = (follows & PRESENT_AGREE) != 0 ? FOLLOWS : number(in);
+        return new Told(index, key, other, list, hash, present, left, gone, counted,
+            Agreement.values()[flags & AGREEMENT], agreeing, keyed || other ? in.getInt() : number(in));
     }
 
     private void silentTo(ByteBuffer in) {
@@ -177,6 +204,16 @@
         }
     }
 
+    private void silentAlike(ByteBuffer in) {
+        int length = number(in);
+        while (in.hasRemaining()) {
+            int age = in.get() & 0xff;
+            byte[] silent = bytes(in, length);
+            BitSet groups = BitSet.valueOf(bytes(in, length));
+            groups.stream().forEach(group -> silentTo.add(new SilentTo(group, silent, age)));
+        }
+    }
+
     private static Row member(ByteBuffer in) {
         String name = text(in);
         State state = State.values()[in.get()];
--- a/fleet/src/main/java/dockrelay/fleet/group/Speakers.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/Speakers.java
@@ -13,7 +13,7 @@
  * of their own for as long as they differ.
  */
 final class Speakers {
-    private static final int SPEAKERS = 3;
+    static final int SPEAKERS = 3;
     private static final long ORDER = 0x5eaceL;
 
     private final List<String> order;
--- a/fleet/src/main/java/dockrelay/fleet/group/TableAsker.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/TableAsker.java
@@ -122,7 +122,8 @@
         }
         changed.forEach(group -> rows.add(row(group, table.summary(group), keyed)));
         Writer writer = here.writer(Kind.TELL_TABLE, asked.sequence);
-        int written = writer.rows(rows, keyed, groups + 24);
+        int written = writer.rows(rows, keyed, groups + 24, asked.readsBrief
+            ? group -> here.grouping.names(group).size() : null);
         boolean more = written < rows.size();
         long upTo = more ? table.version(rows.get(written - 1).index()) : table.version();
         byte[] ages = new byte[groups];
@@ -130,7 +131,7 @@
             ages[group] = (byte) age(now, group, keyed, upTo);
         }
         writer.upTo(epoch, upTo, more).ages(ages);
-        if (asked.speaker && !keyed) {
+        if (asked.wantsSilent && !keyed) {
             List<SilentTo> silent = new ArrayList<>();
             for (int group = 0; group < groups; group++) {
                 byte[] bits = group == here.own ? null : table.silent(now, group);
@@ -139,7 +140,11 @@
                         units(table.silentAge(now, group))));
                 }
             }
-            writer.silentTo(silent);
+            if (asked.readsBrief) {
+                writer.silentAlike(silent);
+            } else {
+                writer.silentTo(silent);
+            }
         }
         here.send(from, writer);
     }
@@ -211,9 +216,10 @@
         }
     }
 
-    private Summary summary(Told row, int list, boolean alike) {
-        boolean plain = row.key() == 0 && !row.otherList();
-        int group = row.key() != 0 ? here.grouping.group(row.key()) : alike ? row.index() : -1;
+    private Summary summary(Told told, int list, boolean alike) {
+        boolean plain = told.key() == 0 && !told.otherList();
+        int group = told.key() != 0 ? here.grouping.group(told.key()) : alike ? told.index() : -1;
+        Told row = plain ? told.whole(here.grouping.names(group).size()) : told;
         int key = row.key() != 0 ? row.key() : here.grouping.key(group);
         int[] speakers = {};
         if (!plain && row.speaker() != 0) {
--- a/fleet/src/main/java/dockrelay/fleet/group/Writer.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/Writer.java
@@ -6,14 +6,20 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.function.IntUnaryOperator;
 
 /** Writes a datagram, section after section, as long as there is room. */
 final class Writer {
     static final int LONGEST = 1400;
     private static final int CHECKSUM = 4, SECTION = 3, MOST_DIFFERING = 8, MOST_DISTINCT = 255;
+    /** What is of about one age, in units, is told with the highest; the most that one group takes alone. */
+    private static final int ALIKE_AGES = 64, MOST_OF_ONE = 5;
     /** The most that a row of a table, or a summary, takes. */
-    private static final int LONGEST_ROW = 3 + 1 + 12 + 5 * 3 + 4, LONGEST_SUMMARY = 17 + 5 * 3 + 4 + 1 + 12;
+    private static final int LONGEST_ROW = 3 + 1 + 12 + 5 * 3 + 4, LONGEST_SUMMARY = 17 + 5 * 3 + 4 + 1
+        + 4 * Speakers.SPEAKERS;
 
     private final ByteBuffer out = ByteBuffer.allocate(LONGEST);
     private int start = -1;
@@ -78,11 +84,11 @@
         return this;
     }
 
-    Writer since(int epoch, long version, boolean speaker) {
+    Writer since(int epoch, long version, boolean wantsSilent) {
         begin(Message.SINCE);
         out.putInt(epoch);
         Numbers.put(out, version);
-        out.put((byte) (speaker ? 1 : 0));
+        out.put((byte) ((wantsSilent ? Message.WANTS_SILENT : 0) + Message.READS_BRIEF));
         end();
         return this;
     }
@@ -103,8 +109,11 @@
         return this;
     }
 
-    /** Rows in their order; returns how many there was room for beside so many bytes. */
-    int rows(List<Message.Told> rows, boolean keyed, int kept) {
+    /**
+     * Rows in their order; returns how many there was room for beside so many bytes. With the names of each
+     * group, counts that follow from them are left out; without, as for one who cannot read that, none is.
+     */
+    int rows(List<Message.Told> rows, boolean keyed, int kept, IntUnaryOperator names) {
         begin(Message.ROWS);
         int written = 0;
         for (Message.Told row : rows) {
@@ -112,31 +121,83 @@
                 break;
             }
             written++;
-            Numbers.put(out, row.index());
-            out.put((byte) (row.agreement().ordinal() + (keyed ? Message.KEYED : 0)
-                + (row.otherList() ? Message.OTHER_LIST : 0)));
-            if (keyed) {
-                out.putInt(row.key());
-            }
-            if (row.otherList()) {
-                out.putInt(row.list());
+            row(row, keyed, keyed || row.otherList() || names == null ? 0
+                : follows(row, names.applyAsInt(row.index())));
+        }
+        end();
+        return written;
+    }
+
+    private static int follows(Message.Told row, int names) {
+        return (row.left() == 0 ? Message.NONE_LEFT : 0)
+            + (row.present() == names - row.left() - row.gone() ? Message.REST_PRESENT : 0)
+            + (row.counted() == row.present() ? Message.PRESENT_COUNT : 0)
+            + (row.agreeing() == row.present() ? Message.PRESENT_AGREE : 0);
+    }
+
+    private void row(Message.Told row, boolean keyed, int follows) {
+        Numbers.put(out, row.index());
+        out.put((byte) (row.agreement().ordinal() + (keyed ? Message.KEYED : 0)
+            + (row.otherList() ? Message.OTHER_LIST : 0) + follows));
+        if (keyed) {
+            out.putInt(row.key());
+        }
+        if (row.otherList()) {
+            out.putInt(row.list());
+        }
+        if (keyed || row.otherList()) {
+            out.putInt(row.hash());
+        }
+        count(row.present(), follows & Message.REST_PRESENT);
+        count(row.left(), follows & Message.NONE_LEFT);
+        Numbers.put(out, row.gone());
+        count(row.counted(), follows & Message.PRESENT_COUNT);
+        count(row.agreeing(), follows & Message.PRESENT_AGREE);
+        if (keyed || row.otherList()) {
+            out.putInt(row.speaker());
+        } else {
+            Numbers.put(out, row.speaker());
+        }
+    }
+
+    private void count(int count, int follows) {
+        if (follows == 0) {
+            Numbers.put(out, count);
+        }
+    }
+
+    /**
+     * The same for one who reads what is brief: who hears nothing of the same ones, by words of about one
+     * age, is written together, with the highest age. Where hardly any are alike, each by itself.
+     */
+    Writer silentAlike(List<Message.SilentTo> all) {
+        Map<String, List<Message.SilentTo>> alike = new LinkedHashMap<>();
+        for (Message.SilentTo each : all) {
+            alike.computeIfAbsent(Arrays.toString(each.silent()) + each.age() / ALIKE_AGES, of
+                -> new ArrayList<>()).add(each);
+        }
+        int length = all.isEmpty() ? 0 : all.get(0).silent().length;
+        if (alike.size() * (1 + 2 * length) > all.size() * MOST_OF_ONE) {
+            return silentTo(all);
+        }
+        begin(Message.SILENT_ALIKE);
+        for (List<Message.SilentTo> of : alike.values()) {
+            if (room() < 3 + 2 * length || of.get(0).silent().length != length) {
+                continue;
             }
-            if (keyed || row.otherList()) {
-                out.putInt(row.hash());
+            if (out.position() == start + SECTION) {
+                Numbers.put(out, length);
             }
-            Numbers.put(out, row.present());
-            Numbers.put(out, row.left());
-            Numbers.put(out, row.gone());
-            Numbers.put(out, row.counted());
-            Numbers.put(out, row.agreeing());
-            if (keyed || row.otherList()) {
-                out.putInt(row.speaker());
-            } else {
-                Numbers.put(out, row.speaker());
+            byte[] groups = new byte[length];
+            int age = 0;
+            for (Message.SilentTo each : of) {
+                groups[each.group() / 8] |= (byte) (1 << each.group() % 8);
+                age = Math.max(age, each.age());
             }
+            out.put((byte) age).put(of.get(0).silent()).put(groups);
         }
         end();
-        return written;
+        return this;
     }
 
     /** Many groups hear nothing of the same ones: those are written once. As many as fit. */
@@ -153,7 +214,7 @@
             while (same < distinct.size() && !Arrays.equals(distinct.get(same), each.silent())) {
                 same++;
             }
-            int cost = 5 + (same == distinct.size() ? length : 0);
+            int cost = MOST_OF_ONE + (same == distinct.size() ? length : 0);
             if (cost > left || same == MOST_DISTINCT || each.silent().length != length) {
                 continue;
             }
--- a/fleet/src/test/java/dockrelay/fleet/group/GroupsMessagesTest.java
+++ b/fleet/src/test/java/dockrelay/fleet/group/GroupsMessagesTest.java
@@ -24,6 +24,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.IntUnaryOperator;
 import org.junit.jupiter.api.Test;
 
 /** What groups send each other, what of it is taken, and asking for one by name. */
@@ -59,7 +60,7 @@
             byte[] ages = new byte[40];
             random.nextBytes(ages);
             Writer writer = new Writer(Kind.TELL_TABLE, 7, 8, seed);
-            int written = writer.rows(rows, keyed, 64);
+            int written = writer.rows(rows, keyed, 64, null);
             Message table = Message.read(writer.upTo(5, 6, true).ages(ages).silentTo(List.of(
                 new SilentTo(3, new byte[] {1, 0}, 9), new SilentTo(5, new byte[] {1, 0}, 8))).done());
             assertEquals(rows.subList(0, written), table.rows);
@@ -71,6 +72,89 @@
         }
     }
 
+    /** What follows is left out, and read back by who knows how many names a group has. */
+    @Test
+    void countsThatFollowAreLeftOutAndComeBack() throws Unreadable {
+        for (int seed = 1; seed <= 500; seed++) {
+            Random random = new Random(seed);
+            List<Told> rows = new ArrayList<>();
+            int[] names = random.ints(40, 1, 129).toArray();
+            for (int i = 0; i < names.length; i++) {
+                int left = random.nextInt(3) / 2, gone = random.nextInt(names[i]);
+                int rest = Math.max(0, names[i] - left - gone);
+                int present = random.nextInt(4) == 0 ? random.nextInt(128) : rest;
+                boolean other = random.nextInt(8) == 0;
+                rows.add(new Told(i, 0, other, other ? 7 : 0, other ? 8 : 0, present, left, gone,
+                    random.nextBoolean() ? present : random.nextInt(128),
+                    Agreement.values()[random.nextInt(3)], random.nextBoolean() ? present
+                    : random.nextInt(128), random.nextInt(65)));
+            }
+            Writer writer = new Writer(Kind.TELL_TABLE, 7, 8, seed);
+            assertEquals(rows.size(), writer.rows(rows, false, 64, index -> names[index]));
+            List<Told> read = Message.read(writer.done()).rows;
+            for (int i = 0; i < rows.size(); i++) {
+                Told back = read.get(i);
+                assertEquals(rows.get(i), back.otherList() ? back : back.whole(names[i]));
+            }
+        }
+    }
+
+    /** Four bytes tell of a group in which all that there are agree; by its key, or to an older one, all. */
+    @Test
+    void aRowInWhichAllFollowsTakesFourBytes() {
+        Told settled = new Told(9, 0, false, 0, 0, 41, 0, 7, 41, Agreement.ALL, 41, 3);
+        Told keyed = new Told(9, 5, false, 0, 1, 41, 0, 7, 41, Agreement.ALL, 41, 3);
+        int nothing = new Writer(Kind.TELL_TABLE, 7, 8, 9).done().remaining() + 3;
+        assertEquals(nothing + 4, length(List.of(settled), false, index -> 48));
+        assertEquals(nothing + 8, length(List.of(settled), false, null));
+        assertEquals(nothing + 19, length(List.of(keyed), true, index -> 48));
+    }
+
+    /** Many groups that hear nothing of the same ones take two sets of bits, by words of about one age. */
+    @Test
+    void groupsThatHearNothingOfTheSameOnesAreToldTogether() throws Unreadable {
+        Random random = new Random(5);
+        byte[] lost = {0, 0, 1, 2, 3}, other = {0, 0, 1, 2, 1};
+        List<SilentTo> all = new ArrayList<>();
+        for (int group = 0; group < 24; group++) {
+            int age = random.nextInt(60) + (group == 9 ? 64 : 0);
+            all.add(new SilentTo(group, group == 7 ? other : lost, age));
+        }
+        ByteBuffer datagram = new Writer(Kind.TELL_TABLE, 7, 8, 9).silentAlike(all).done();
+        int nothing = new Writer(Kind.TELL_TABLE, 7, 8, 9).done().remaining();
+        assertEquals(nothing + 3 + 1 + 3 * 11, datagram.remaining());
+        List<SilentTo> read = Message.read(datagram).silentTo;
+        assertEquals(24, read.size());
+        for (SilentTo one : read) {
+            SilentTo as = all.get(one.group());
+            assertTrue(Arrays.equals(as.silent(), one.silent()), "of " + one.group());
+            assertTrue(one.age() >= as.age() && one.age() - as.age() < 64, "never younger: " + one);
+        }
+        assertTrue(new Writer(Kind.TELL_TABLE, 7, 8, 9).silentTo(all).done().remaining()
+            > datagram.remaining() + 30, "by itself each takes more");
+    }
+
+    /** Where each hears nothing of other ones, two sets of bits each would be more. */
+    @Test
+    void groupsThatAreNotAlikeAreToldEachByItself() throws Unreadable {
+        List<SilentTo> all = new ArrayList<>();
+        for (int group = 0; group < 16; group++) {
+            all.add(new SilentTo(group, new byte[] {(byte) group, 1}, group));
+        }
+        Message alike = Message.read(new Writer(Kind.TELL_TABLE, 7, 8, 9).silentAlike(all).done());
+        assertEquals(16, alike.silentTo.size());
+        all.replaceAll(one -> new SilentTo(one.group(), Arrays.copyOf(one.silent(), 40), one.age()));
+        ByteBuffer each = new Writer(Kind.TELL_TABLE, 7, 8, 9).silentAlike(all).done();
+        assertEquals(new Writer(Kind.TELL_TABLE, 7, 8, 9).silentTo(all).done(), each);
+        assertEquals(16, Message.read(each).silentTo.size());
+    }
+
+    private static int length(List<Told> rows, boolean keyed, IntUnaryOperator names) {
+        Writer writer = new Writer(Kind.TELL_TABLE, 7, 8, 9);
+        writer.rows(rows, keyed, 64, names);
+        return writer.done().remaining();
+    }
+
     private static Refusal refusal(byte[] bytes) {
         return assertThrows(Unreadable.class, () -> Message.read(ByteBuffer.wrap(bytes))).refusal;
     }
