Share a group's word among five speakers, evenly, and ask sooner where something goes on

Seen at 5,700 (FleetProbe, bytes by kind and member): the busiest speaker told 28 tables a second where its part is 17. Members that once found a speaker wanting stayed with another for ever, and asked that one for a whole table each time something was older than 2.4 s, which with a seventh lost it is everywhere. A seventh lost took 6.25 s to reach all: the slowest group knows it itself after 4.7 s, its speakers' parts were joined within 1 s, members asked once a second.

Change: five speakers in place of three; a member comes back to its own after 6 s, and asks another one only a second after a summary counts for nothing; it asks every 0.75 s; speakers join their parts every 0.5 s and ask a group that does not agree twice as often for 4 s after it changed. To whom groups hear nothing is asked for once a second still. A member keeps the tables of its usual and its last speaker only.

GroupsTest: 1,000 schedules, none broken, five broken ones found out.

--- a/fleet/src/main/java/dockrelay/fleet/group/GroupAsker.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/GroupAsker.java
@@ -8,8 +8,8 @@
 
 /**
  * A speaker's questions to other groups: each speaker asks its part of them, once a round and out of step,
- * and all speakers ask for those that are late. One of the other's speakers is asked; its other names where
- * none is known or none answers.
+ * sooner while one does not agree, and all speakers ask for those that are late. One of the other's speakers
+ * is asked; its other names where none is known or none answers.
  */
 final class GroupAsker {
     private static final int MOST_MISSING = 4, AT_A_TIME = 7;
@@ -70,7 +70,8 @@
 
     /** One is asked; many at a time where one has not answered and the group is late: it may be silent. */
     private void ask(long now, int group) {
-        dueAt[group] = now + (long) (here.rhythm.round() * (0.95 + 0.1 * here.random.nextDouble()));
+        long next = here.table.unsettled(now, group) ? here.rhythm.soon() : here.rhythm.round();
+        dueAt[group] = now + (long) (next * (0.95 + 0.1 * here.random.nextDouble()));
         boolean late = tries[group] > 0 && here.table.unsure(now, group) > here.rhythm.late();
         List<Integer> missing = missing(now);
         for (int i = late && tries[group] < VAIN ? AT_A_TIME : 1; i > 0; i--) {
--- a/fleet/src/main/java/dockrelay/fleet/group/Rhythm.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/Rhythm.java
@@ -9,6 +9,34 @@
         return 5 * pace.period();
     }
 
+    /** A member asks a speaker for what is new of all groups so often. */
+    long table() {
+        return round() * 3 / 4;
+    }
+
+    /**
+     * Speakers join their parts, and ask a group in which something is going on, so often: all else that a
+     * group learns of others waits for these.
+     */
+    long soon() {
+        return round() / 2;
+    }
+
+    /** For so long after it changed a group that does not agree is asked sooner: it may never agree. */
+    long unsettled() {
+        return stale();
+    }
+
+    /** A member whose speaker knows nothing younger asks another one: by then most count out who is lost. */
+    long missed() {
+        return stale() + round();
+    }
+
+    /** A member that found its speaker wanting comes back to it after this. */
+    long aside() {
+        return 8 * table();
+    }
+
     /** Without an answer for this long another one is asked. */
     long retry() {
         return 2 * pace.period();
--- a/fleet/src/main/java/dockrelay/fleet/group/Source.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/Source.java
@@ -3,7 +3,7 @@
 /** One member of the own group as a source: its table as it told it last, in the order of its groups. */
 final class Source {
     final String name;
-    int epoch, list;
+    int epoch, list, times; // how often it was asked
     long version, askedAt = Long.MIN_VALUE / 2;
     Summary[] rows = {};
     boolean[] out = {}; // whom most hear nothing of
--- a/fleet/src/main/java/dockrelay/fleet/group/Speakers.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/Speakers.java
@@ -13,7 +13,8 @@
  * of their own for as long as they differ.
  */
 final class Speakers {
-    static final int SPEAKERS = 3;
+    /** Each asks its part of the other groups and tells its part of the members: the more, the less each. */
+    static final int SPEAKERS = 5;
     private static final long ORDER = 0x5eaceL;
 
     private final List<String> order;
--- a/fleet/src/main/java/dockrelay/fleet/group/Table.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/Table.java
@@ -1,5 +1,7 @@
 package dockrelay.fleet.group;
 
+import dockrelay.fleet.Standing.Agreement;
+
 /**
  * What one member holds of each group but its own: one row a group, whoever told it, and since when it may be
  * no longer true. What changes gets a number, so that others can be told what is new to them.
@@ -9,7 +11,7 @@
     static final class Held {
         Summary summary; // null where it was never heard of
         long origin;     // it was so then, at the earliest
-        long version;
+        long version, changedAt;
         byte[] silent;   // to whom this group hears nothing, in the order of the groups; null where unknown
         long silentAt;
     }
@@ -56,11 +58,19 @@
         }
         if (!told.same(of.summary)) {
             of.version = ++version;
+            of.changedAt = now;
         }
         of.summary = told.speaking(of.summary);
         of.origin = origin;
     }
 
+    /** Whether something is going on in a group: its members did not agree lately. */
+    boolean unsettled(long now, int group) {
+        Held of = held[group];
+        return of.summary != null && of.summary.agreement() != Agreement.ALL
+            && now - of.changedAt < rhythm.unsettled();
+    }
+
     /** Takes to whom a group hears nothing. */
     void silent(long now, int group, byte[] silent, long age) {
         Held of = held[group];
--- a/fleet/src/main/java/dockrelay/fleet/group/TableAsker.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/TableAsker.java
@@ -20,14 +20,16 @@
     private final int epoch;
     private final Map<String, Source> sources = new HashMap<>();
     private final Map<String, Long> dueAt = new HashMap<>();
-    private long nextRound;
-    private int shift, tries;
+    private final int home; // which of the speakers is asked while all is well: as many members ask each
+    private long nextRound, homeAt;
+    private int detour, tries;
+    private String asked; // the last one
 
     TableAsker(Between here, long now, int epoch) {
         this.here = here;
         this.epoch = epoch;
-        this.nextRound = now + (long) (here.random.nextDouble() * here.rhythm.round());
-        this.shift = here.grouping.roster(here.own).index(here.self); // as many for each speaker
+        this.nextRound = now + (long) (here.random.nextDouble() * here.rhythm.table());
+        this.home = here.grouping.roster(here.own).index(here.self);
     }
 
     /** Asks what is due; returns when the next one is. */
@@ -36,14 +38,17 @@
         if (!here.speaker()) {
             dueAt.clear();
             if (now >= nextRound) {
-                nextRound = now + (long) (here.rhythm.round() * (0.95 + 0.1 * here.random.nextDouble()));
+                nextRound = now + (long) (here.rhythm.table() * (0.95 + 0.1 * here.random.nextDouble()));
                 tries = 0;
                 if (misses(now)) {
-                    shift++;
+                    aside(now);
+                } else if (now >= homeAt) {
+                    detour = 0;
                 }
                 ask(now);
             }
-            sources.keySet().removeIf(name -> !speakers.contains(name) && sources.size() > speakers.size());
+            String usual = speakers.isEmpty() ? null : speakers.get(Math.floorMod(home, speakers.size()));
+            sources.keySet().removeIf(name -> !name.equals(usual) && !name.equals(asked));
             return nextRound;
         }
         long next = Long.MAX_VALUE;
@@ -54,7 +59,7 @@
                 long due = dueAt.computeIfAbsent(other, name -> now
                     + (long) (here.random.nextDouble() * here.rhythm.retry()));
                 if (now >= due) {
-                    due = now + (long) (here.rhythm.round() * (0.95 + 0.1 * here.random.nextDouble()));
+                    due = now + (long) (here.rhythm.soon() * (0.95 + 0.1 * here.random.nextDouble()));
                     dueAt.put(other, due);
                     ask(now, other);
                 }
@@ -64,10 +69,19 @@
         return next;
     }
 
-    /** Whether something is old that another speaker may know better. */
+    /** Another speaker is asked for some rounds: were it for ever, all would end up with the same one. */
+    private void aside(long now) {
+        detour++;
+        homeAt = now + here.rhythm.aside();
+    }
+
+    /**
+     * Whether something has counted for nothing for a while that another speaker may know better. To ask that
+     * one costs a whole table, and speakers tell each other what they know, also who is counted out.
+     */
     private boolean misses(long now) {
         for (int group = 0; group < here.grouping.groups(); group++) {
-            if (group != here.own && here.table.unsure(now, group) > here.rhythm.silent()
+            if (group != here.own && here.table.unsure(now, group) > here.rhythm.missed()
                 && !here.count.marked(now, group)) {
                 return true;
             }
@@ -78,7 +92,7 @@
     private void ask(long now) {
         List<String> speakers = here.speakers.names();
         if (!speakers.isEmpty() && tries < speakers.size()) {
-            ask(now, here.groups.source(speakers.get(Math.floorMod(shift, speakers.size()))));
+            ask(now, here.groups.source(speakers.get(Math.floorMod(home + detour, speakers.size()))));
             return;
         }
         List<String> present = here.grouping.names(here.own).stream().filter(name ->
@@ -89,17 +103,20 @@
     }
 
     private void ask(long now, String to) {
+        asked = to;
         Source source = sources.get(to);
         Question question = here.questions.ask(now, Kind.ASK_TABLE, to, -1, null);
+        // To whom groups hear nothing is told to speakers only, and as often as groups themselves say it.
+        boolean silent = here.speaker() && (source == null || source.times++ % 2 == 0);
         here.send(to, here.writer(Kind.ASK_TABLE, question.sequence).since(source == null ? 0 : source.epoch,
-            source == null ? 0 : source.version, here.speaker()));
+            source == null ? 0 : source.version, silent));
     }
 
-    /** Another one is asked, and from now on. */
+    /** Another one is asked. */
     void failed(long now) {
         if (!here.speaker() && tries <= here.speakers.names().size()) {
             tries++;
-            shift++;
+            aside(now);
             ask(now);
         }
     }
