Measure a hollow member's heap by what its end sets free

Change: the fleet is held at the first reading and let go before the second; what is kept once is in both.

--- a/lab/src/main/java/dockrelay/lab/scale/members/Scenario.java
+++ b/lab/src/main/java/dockrelay/lab/scale/members/Scenario.java
@@ -18,10 +18,11 @@
     HEAP {
         @Override
         void play(Play play, Figures figures) {
-            play.started(VirtualFleet.SECOND); // what is loaded and kept once is no member's
-            long before = heap();
-            VirtualFleet fleet = play.started(play.time("warm") / 2);
-            figures.add("heap of a member", "kB", (heap() - before) / 1e3 / fleet.count());
+            VirtualFleet[] fleet = {play.started(play.time("warm") / 2)};
+            int members = fleet[0].count();
+            long with = heap();
+            fleet[0] = null; // what is loaded and kept once is in both
+            figures.add("heap of a member", "kB", (with - heap()) / 1e3 / members);
         }
     },
     /** Nothing at all: what it costs, and what of a budget is given out. */
