--- a/fleet/src/test/java/dockrelay/fleet/group/TableAskerTest.java
+++ b/fleet/src/test/java/dockrelay/fleet/group/TableAskerTest.java
@@ -34,8 +34,8 @@
     }
 
     /**
-     * A lost group stays counted out while a member asks its usual speaker again, which does not answer it: what
-     * the other speaker said holds until then.
+     * A lost group stays counted out while a member asks its usual speaker again, which does not answer it:
+     * what the other speaker said holds until then.
      */
     @Test
     void whoIsCountedOutStaysSoWhileAnotherSpeakerIsAsked() {
