Accuse nobody by probes that it cannot know yet: a newcomer made members be held gone

Both are kept over a change of the list, as what was known before is. Others accuse as ever. Probe.sentAt, which nothing read, is gone.

--- a/fleet/src/main/java/dockrelay/fleet/Membership.java
+++ b/fleet/src/main/java/dockrelay/fleet/Membership.java
@@ -53,15 +53,15 @@
     private static final class Probe {
         final int sequence;
         final Member target;
-        final long sentAt;
         final long heardBefore;
+        final boolean known; // as far as it could tell then, the target had this one's name on its list
         long askAt, failAt;
         boolean asked;
 
-        Probe(int sequence, Member target, long now, long heardBefore, long askAt, long failAt) {
+        Probe(int sequence, Member target, boolean known, long heardBefore, long askAt, long failAt) {
             this.sequence = sequence;
             this.target = target;
-            this.sentAt = now;
+            this.known = known;
             this.heardBefore = heardBefore;
             this.askAt = askAt;
             this.failAt = failAt;
@@ -139,6 +139,8 @@
                     member.lastLife = old.lastLife;
                     member.by = old.by;
                     member.suspicion = old.suspicion;
+                    member.knowsMe = old.knowsMe;
+                    member.listedAt = old.listedAt;
                 }
             }
             kept.add(member);
@@ -308,7 +310,9 @@
     private void probe(long now, Member target) {
         int stretch = 1 + health;
         int number = ping(now, target, null, 0);
-        probes.add(new Probe(number, target, now, heard, now + stretch * pace.direct(),
+        // A list is told to one after the other: who has not sent anything yet may not be going by it.
+        boolean known = target.knowsMe || now - target.listedAt >= pace.joining();
+        probes.add(new Probe(number, target, known, heard, now + stretch * pace.direct(),
             now + stretch * pace.period()));
     }
 
@@ -338,7 +342,7 @@
             health = Math.min(HEALTH_WORST, health + 1); // nobody at all was heard meanwhile: it may be me
         }
         Member target = probe.target;
-        if (target.state == State.PRESENT || target.state == State.SUSPECT) {
+        if (probe.known && (target.state == State.PRESENT || target.state == State.SUSPECT)) {
             suspect(now, target, target.incarnation, me.id);
         }
     }
@@ -396,6 +400,7 @@
             return;
         }
         heard++;
+        sender.knowsMe = true;
         Sent question = head.kind() == Kind.ACK ? sent.remove(head.sequence()) : null;
         boolean fresh = question != null && question.to == sender;
         // Guards against late datagrams meant for the process before this one: it knew what they are worth.
