Move the answers to questions for the table into a room of their own: TableTeller

Need: TableAsker kept usual, asked and answered speakers and told the table besides; what is told to whom changes next. Measured: TableAskerTest, GroupsMessagesTest, NewcomerTest, OneGroupTest green.

--- a/fleet/src/main/java/dockrelay/fleet/group/Between.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/Between.java
@@ -31,6 +31,7 @@
     final Count count;
     final GroupAsker asker;
     final TableAsker tables;
+    private final TableTeller teller;
     private final Groups.Actions actions;
     private final Finder finder;
     private final int id;
@@ -54,7 +55,8 @@
         this.silence = new Silence(this, now);
         this.count = new Count(this);
         this.asker = new GroupAsker(this);
-        this.tables = new TableAsker(this, now, random.nextInt() | 1);
+        this.teller = new TableTeller(this, random.nextInt() | 1);
+        this.tables = new TableAsker(this, now);
         this.finder = new Finder(this);
         this.nextAt = now;
     }
@@ -128,7 +130,7 @@
     private void take(long now, String from, Message message) {
         switch (message.kind) {
             case ASK_GROUP -> asker.answer(now, from, message);
-            case ASK_TABLE -> tables.answer(now, from, message);
+            case ASK_TABLE -> teller.answer(now, from, message);
             case ASK_NAME -> finder.answer(now, from, message);
             case TELL_GROUP -> {
                 Question question = questions.answered(message.sequence, from, Kind.ASK_GROUP);
--- /dev/null
+++ b/fleet/src/main/java/dockrelay/fleet/group/TableTeller.java
@@ -0,0 +1,94 @@
+package dockrelay.fleet.group;
+
+import dockrelay.fleet.group.Message.Kind;
+import dockrelay.fleet.group.Message.SilentTo;
+import dockrelay.fleet.group.Message.Told;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Answers members of the own group that ask for the table: what changed since the answer before, and a byte
+ * of age for each group.
+ */
+final class TableTeller {
+    private final Between here;
+    private final int epoch;
+
+    TableTeller(Between here, int epoch) {
+        this.here = here;
+        this.epoch = epoch;
+    }
+
+    void answer(long now, String from, Message asked) {
+        boolean keyed = asked.list != here.grouping.hash();
+        long since = asked.epoch == epoch ? asked.version : 0;
+        Table table = here.table;
+        int groups = here.grouping.groups();
+        List<Integer> changed = new ArrayList<>();
+        for (int group = 0; group < groups; group++) {
+            if (group != here.own && table.summary(group) != null && table.version(group) > since) {
+                changed.add(group);
+            }
+        }
+        changed.sort(Comparator.comparingLong(table::version));
+        List<Told> rows = new ArrayList<>();
+        if (keyed) { // by its list it may be of another group than this one's
+            rows.add(row(here.own, here.summary(now), true));
+        }
+        changed.forEach(group -> rows.add(row(group, table.summary(group), keyed)));
+        Writer writer = here.writer(Kind.TELL_TABLE, asked.sequence);
+        int written = writer.rows(rows, keyed, groups + 24, asked.readsBrief
+            ? group -> here.grouping.names(group).size() : null);
+        boolean more = written < rows.size();
+        long upTo = more ? table.version(rows.get(written - 1).index()) : table.version();
+        byte[] ages = new byte[groups];
+        for (int group = 0; group < groups; group++) {
+            ages[group] = (byte) age(now, group, keyed, upTo);
+        }
+        writer.upTo(epoch, upTo, more).ages(ages);
+        if (asked.wantsSilent && !keyed) {
+            List<SilentTo> silent = new ArrayList<>();
+            for (int group = 0; group < groups; group++) {
+                byte[] bits = group == here.own ? null : table.silent(now, group);
+                if (bits != null && bits.length > 0) {
+                    silent.add(new SilentTo(group, java.util.Arrays.copyOf(bits, (groups + 7) / 8),
+                        units(table.silentAge(now, group))));
+                }
+            }
+            if (asked.readsBrief) {
+                writer.silentAlike(silent);
+            } else {
+                writer.silentTo(silent);
+            }
+        }
+        here.send(from, writer);
+    }
+
+    private int age(long now, int group, boolean keyed, long upTo) {
+        if (group == here.own) {
+            return keyed ? 0 : Message.NONE;
+        } else if (here.silence.agreed(now, group)) {
+            return Message.OUT;
+        } else if (here.table.summary(group) == null || here.table.version(group) > upTo) {
+            return Message.NONE;
+        }
+        return units(here.table.age(now, group));
+    }
+
+    /** Rounded up: an age is never under-stated. */
+    private int units(long age) {
+        long units = (age + here.rhythm.unit() - 1) / here.rhythm.unit();
+        return units > Message.OLDEST ? Message.OLD : (int) units;
+    }
+
+    private Told row(int group, Summary of, boolean keyed) {
+        boolean otherList = of.list() != here.grouping.hash();
+        int speaker = of.first();
+        if (!keyed && !otherList) {
+            speaker = 1 + here.grouping.roster(group).index(of.first());
+        }
+        return new Told(group, here.grouping.key(group), otherList, of.list(), of.hash(), of.present(),
+            of.left(), of.gone(), of.counted(), of.agreement(), of.agreeing(), speaker);
+    }
+}
