Tell between speakers only what each asked for itself, and let one take over a late group

Change: - a group that is late (1.8 s) is asked for by the next speaker by hash, not by all; by all once it seems silent (2.4 s), as who is lost has to be known soon; - speakers tell each other only what each has asked for itself (flag OWN_PART, section OWN_AGES); a row is new to them again when it becomes somebody's own. Without the flag all is told as ever; - five speakers, or as many as leave each 16 groups to ask, twelve at the most; - while something goes on in a group, a change only of how many agree is not told on its own; - ranks of speakers are computed when speakers change, no longer for each group at each tick.

Measured: 1,000 schedules of GroupsTest hold (three broke while an asker that turned from speaker to member went by rows that its part had left out, which is mended), GroupSlopeTest, GroupsMessagesTest, TableAskerTest, NewcomerTest, OneGroupTest pass.

--- a/fleet/src/main/java/dockrelay/fleet/group/Between.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/Between.java
@@ -51,7 +51,7 @@
         this.actions = actions;
         this.table = new Table(grouping, rhythm, now);
         this.questions = new Questions(rhythm, random);
-        this.speakers = new Speakers(members, self, grouping.names(own));
+        this.speakers = new Speakers(members, self, grouping.names(own), grouping.groups());
         this.silence = new Silence(this, now);
         this.count = new Count(this);
         this.asker = new GroupAsker(this);
@@ -153,10 +153,11 @@
         }
     }
 
-    void hear(long now, Summary told, long age) {
+    void hear(long now, Summary told, long age, boolean firstHand) {
         int group = grouping.group(told.key());
         if (group >= 0 && group != own) {
-            table.hear(now, groups.taken(table.summary(group), table.age(now, group), told), age);
+            table.hear(now, groups.taken(table.summary(group), table.age(now, group), told), age,
+                firstHand);
         }
     }
 
--- a/fleet/src/main/java/dockrelay/fleet/group/GroupAsker.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/GroupAsker.java
@@ -8,8 +8,8 @@
 
 /**
  * A speaker's questions to other groups: each speaker asks its part of them, once a round and out of step,
- * sooner while one does not agree, and all speakers ask for those that are late. One of the other's speakers
- * is asked; its other names where none is known or none answers.
+ * sooner while one does not agree. For one that is late another speaker asks too, for one that seems silent
+ * all do. One of the other's speakers is asked; its other names where none is known or none answers.
  */
 final class GroupAsker {
     private static final int MOST_MISSING = 4, AT_A_TIME = 7;
@@ -19,11 +19,14 @@
     private final Between here;
     private final long[] dueAt;
     private boolean asks;
+    private List<String> rankedAmong; // ranks are of this speaker among these
+    private final int[] ranks;
     private final int[] tries, asked, from; // in vain; since it answered; where among its names
 
     GroupAsker(Between here) {
         this.here = here;
         this.dueAt = new long[here.grouping.groups()];
+        this.ranks = new int[dueAt.length];
         this.tries = new int[dueAt.length];
         this.asked = new int[dueAt.length];
         this.from = new int[dueAt.length];
@@ -38,6 +41,7 @@
         if (idle) {
             return next;
         }
+        rank();
         for (int group = 0; group < dueAt.length; group++) {
             if (!speaker || group == here.own || !mine(now, group)) {
                 dueAt[group] = Long.MAX_VALUE;
@@ -58,9 +62,22 @@
         return next;
     }
 
+    /** Anew where others speak than before: hashes of all speakers for all groups. */
+    private void rank() {
+        if (rankedAmong != here.speakers.names()) {
+            rankedAmong = here.speakers.names();
+            for (int group = 0; group < ranks.length; group++) {
+                ranks[group] = here.speakers.rank(here.grouping.key(group));
+            }
+        }
+    }
+
     private boolean mine(long now, int group) {
-        return here.self.equals(here.speakers.asking(here.grouping.key(group)))
-            || here.table.unsure(now, group) > here.rhythm.late();
+        long unsure = here.table.unsure(now, group);
+        if (unsure > here.rhythm.silent()) {
+            return true; // whether all hear nothing has to be known soon
+        }
+        return ranks[group] == 0 || ranks[group] == 1 && unsure > here.rhythm.late();
     }
 
     /** Whether a group was asked in vain so often, since it answered, that it is no speaker's loss. */
@@ -144,13 +161,13 @@
         tries[question.group] = 0;
         asked[question.group] = 0;
         long trip = now - question.at;
-        here.hear(now, told.summary, here.groups.aged(0, trip));
+        here.hear(now, told.summary, here.groups.aged(0, trip), true);
         int group = here.grouping.group(told.summary.key());
         if (group >= 0 && told.list == here.grouping.hash()) {
             here.table.silent(now, group, told.silent == null ? new byte[0] : told.silent, trip);
         }
         for (Aged row : told.relayed) {
-            here.hear(now, row.summary(), here.groups.aged(row.age(), trip));
+            here.hear(now, row.summary(), here.groups.aged(row.age(), trip), true);
         }
     }
 }
--- a/fleet/src/main/java/dockrelay/fleet/group/Message.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/Message.java
@@ -8,6 +8,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.BitSet;
 import java.util.List;
 
@@ -16,19 +17,23 @@
     static final byte MAGIC = (byte) 0xd7, SECOND = 0x52, VERSION = 1;
     /** The sections; others are passed over. */
     static final byte MISSING = 1, SUMMARY = 2, SILENT = 3, RELAYED = 4, SINCE = 5, UP_TO = 6, AGES = 7,
-        ROWS = 8, SILENT_TO = 9, NAME = 10, MEMBER = 11, SILENT_ALIKE = 12;
+        ROWS = 8, SILENT_TO = 9, NAME = 10, MEMBER = 11, SILENT_ALIKE = 12, OWN_AGES = 13;
     /** A row's flags beside its agreement: by its key, and by another list than its teller's. */
     static final int AGREEMENT = 3, KEYED = 4, OTHER_LIST = 8;
     /** What a row leaves out as it follows: nobody left, the rest is present, all those count, all agree. */
     static final int NONE_LEFT = 16, REST_PRESENT = 32, PRESENT_COUNT = 64, PRESENT_AGREE = 128;
     /** A count that was left out. */
     static final int FOLLOWS = -1;
-    /** Of who asks for a table: to be told to whom groups hear nothing; that it reads what is brief. */
-    static final int WANTS_SILENT = 1, READS_BRIEF = 2;
+    /**
+     * Of who asks for a table: to be told to whom groups hear nothing; that it reads what is brief; that it
+     * asks all speakers and wants of each what that one has asked for itself, with the ages of these alone.
+     */
+    static final int WANTS_SILENT = 1, READS_BRIEF = 2, OWN_PART = 4;
     /** Ages in units of a rhythm: the last ones mean something else. */
     static final int OLDEST = 252, NONE = 253, OLD = 254, OUT = 255;
 
     private static final long LONGEST_AGE = 1L << 40;
+    private static final int MOST_GROUPS = 4096;
 
     /** Who asks whom for what: a group for itself, a member for all groups, a group for one of its names. */
     enum Kind { ASK_GROUP, TELL_GROUP, ASK_TABLE, TELL_TABLE, ASK_NAME, TELL_NAME }
@@ -79,7 +84,7 @@
     final List<Aged> relayed = new ArrayList<>();
     int epoch;
     long version;
-    boolean wantsSilent, readsBrief, more;
+    boolean wantsSilent, readsBrief, ownPart, more; // a question's, and what an answer is
     byte[] ages;
     final List<Told> rows = new ArrayList<>();
     final List<SilentTo> silentTo = new ArrayList<>();
@@ -142,6 +147,7 @@
                 int flags = in.get();
                 wantsSilent = (flags & WANTS_SILENT) != 0;
                 readsBrief = (flags & READS_BRIEF) != 0;
+                ownPart = (flags & OWN_PART) != 0;
             }
             case UP_TO -> {
                 epoch = in.getInt();
@@ -149,6 +155,10 @@
                 more = in.get() != 0;
             }
             case AGES -> ages = bytes(in, in.remaining());
+            case OWN_AGES -> {
+                ages = ownAges(in);
+                ownPart = true;
+            }
             case ROWS -> {
                 while (in.hasRemaining()) {
                     rows.add(told(in));
@@ -162,6 +172,20 @@
         }
     }
 
+    private static byte[] ownAges(ByteBuffer in) {
+        int groups = number(in);
+        if (groups > MOST_GROUPS) {
+            throw new IllegalArgumentException("a table of " + groups + " groups");
+        }
+        byte[] ages = new byte[groups];
+        Arrays.fill(ages, (byte) NONE);
+        for (int group = -1; in.hasRemaining();) {
+            group += 1 + number(in);
+            ages[group] = in.get();
+        }
+        return ages;
+    }
+
     private Summary summary(ByteBuffer in) {
         int key = in.getInt(), theirs = in.getInt(), hash = in.getInt(), view = in.getInt();
         Agreement agreement = Agreement.values()[in.get()];
--- a/fleet/src/main/java/dockrelay/fleet/group/Rhythm.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/Rhythm.java
@@ -42,12 +42,12 @@
         return 2 * pace.period();
     }
 
-    /** All speakers ask for a group of which they hold nothing younger. */
+    /** Another speaker asks for a group of which it holds nothing younger: whose part it is may be dead. */
     long late() {
         return 9 * pace.period();
     }
 
-    /** A group of which speakers hold nothing younger is silent to them: said so, and asked for by all. */
+    /** A group of which speakers hold nothing younger is silent to them: asked for by all, and said so. */
     long silent() {
         return 12 * pace.period();
     }
--- a/fleet/src/main/java/dockrelay/fleet/group/Source.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/Source.java
@@ -4,6 +4,7 @@
 final class Source {
     final String name;
     int epoch, list, times; // how often it was asked
+    boolean part; // up to its version only what it has asked for itself was told
     long version, askedAt = Long.MIN_VALUE / 2;
     Summary[] rows = {};
     boolean[] out = {}; // whom most hear nothing of
@@ -17,6 +18,7 @@
         epoch = itsEpoch;
         list = itsList;
         version = 0;
+        part = false;
         rows = new Summary[groups];
         out = new boolean[groups];
     }
--- a/fleet/src/main/java/dockrelay/fleet/group/Speakers.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/Speakers.java
@@ -13,16 +13,21 @@
  * of their own for as long as they differ.
  */
 final class Speakers {
-    /** Each asks its part of the other groups and tells its part of the members: the more, the less each. */
-    static final int SPEAKERS = 5;
+    /**
+     * Each asks its part of the other groups and tells its part of the members: the more, the less each; but
+     * all ask each other. So there are more where there are many groups, by the part that each then has.
+     */
+    static final int LEAST = 5, MOST = 12, PART = 16;
     private static final long ORDER = 0x5eaceL;
 
     private final List<String> order;
     private final Membership members;
     private final String self;
+    private final int most;
     private List<String> now;
 
-    Speakers(Membership members, String self, List<String> names) {
+    Speakers(Membership members, String self, List<String> names, int groups) {
+        this.most = most(groups);
         this.members = members;
         this.self = self;
         this.order = new ArrayList<>(names);
@@ -30,6 +35,11 @@
             .thenComparing(Comparator.naturalOrder()));
     }
 
+    /** How many speak for each of so many groups. */
+    static int most(int groups) {
+        return Math.max(LEAST, Math.min(MOST, (groups + PART - 1) / PART));
+    }
+
     /** The view has changed. */
     void changed() {
         now = null;
@@ -37,7 +47,7 @@
 
     List<String> names() {
         if (now == null) {
-            now = order.stream().filter(name -> members.state(name) == State.PRESENT).limit(SPEAKERS)
+            now = order.stream().filter(name -> members.state(name) == State.PRESENT).limit(most)
                 .toList();
         }
         return now;
@@ -51,17 +61,16 @@
         return names().stream().mapToInt(Roster::id).toArray();
     }
 
-    /** Which of them asks for another group: the one that draws the highest number for it. */
-    String asking(int key) {
-        String best = null;
-        long highest = 0;
-        for (String name : names()) {
-            long drawn = Grouping.mixed((long) Roster.id(name) << 32 ^ key & 0xffffffffL);
-            if (best == null || drawn > highest) {
-                best = name;
-                highest = drawn;
-            }
-        }
-        return best;
+    /**
+     * Whose turn it is to ask for another group: 0 for the one whose part it is, which draws the highest
+     * number for it, 1 for the next.
+     */
+    int rank(int key) {
+        long mine = drawn(self, key);
+        return (int) names().stream().filter(name -> drawn(name, key) > mine).count();
+    }
+
+    private static long drawn(String name, int key) {
+        return Grouping.mixed((long) Roster.id(name) << 32 ^ key & 0xffffffffL);
     }
 }
--- a/fleet/src/main/java/dockrelay/fleet/group/Summary.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/Summary.java
@@ -17,6 +17,17 @@
             && first() == other.first();
     }
 
+    /** Whether nothing but how many agree is told. */
+    boolean sameBut(Summary other) {
+        return other != null && same(other.agreeing(agreeing));
+    }
+
+    /** The same with so many that agree. */
+    Summary agreeing(int count) {
+        return new Summary(key, list, hash, view, present, left, gone, counted, agreement, count, speakers,
+            by);
+    }
+
     /** Who speaks first for the group; 0 where that is not known. */
     int first() {
         return speakers.length == 0 ? 0 : speakers[0];
--- a/fleet/src/main/java/dockrelay/fleet/group/Table.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/Table.java
@@ -14,6 +14,7 @@
         long version, changedAt;
         byte[] silent;   // to whom this group hears nothing, in the order of the groups; null where unknown
         long silentAt;
+        boolean firstHand; // this member was told of it by a group, not by its own
     }
 
     private final Grouping grouping;
@@ -45,7 +46,7 @@
     }
 
     /** Takes what is younger; a minority's word not at once where another's is held. */
-    void hear(long now, Summary told, long age) {
+    void hear(long now, Summary told, long age, boolean firstHand) {
         int group = grouping.group(told.key());
         if (group < 0 || age > rhythm.stale()) {
             return;
@@ -56,14 +57,29 @@
             && now - of.origin < rhythm.retained())) {
             return;
         }
-        if (!told.same(of.summary)) {
+        Summary taken = told.speaking(of.summary);
+        if (told.sameBut(of.summary) && now - of.changedAt < rhythm.unsettled()) {
+            // How many agree changes with each word while something goes on: what it comes to is told.
+            taken = taken.agreeing(of.summary.agreeing());
+        }
+        boolean same = taken.same(of.summary);
+        // Who asks for this member's own part was not told a row while it was somebody else's.
+        if (!same || firstHand && !of.firstHand) {
             of.version = ++version;
+        }
+        if (!same) {
             of.changedAt = now;
         }
-        of.summary = told.speaking(of.summary);
+        of.firstHand = firstHand;
+        of.summary = taken;
         of.origin = origin;
     }
 
+    /** Whether a group is known by this member's own question, not by what others of its group said. */
+    boolean firstHand(int group) {
+        return held[group].firstHand;
+    }
+
     /** Whether something is going on in a group: its members did not agree lately. */
     boolean unsettled(long now, int group) {
         Held of = held[group];
--- a/fleet/src/main/java/dockrelay/fleet/group/TableAsker.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/TableAsker.java
@@ -57,7 +57,7 @@
                 if (now >= due) {
                     due = now + (long) (here.rhythm.soon() * (0.95 + 0.1 * here.random.nextDouble()));
                     dueAt.put(other, due);
-                    ask(now, other);
+                    ask(now, other, true);
                 }
                 next = Math.min(next, due);
             }
@@ -88,24 +88,26 @@
     private void ask(long now) {
         List<String> speakers = here.speakers.names();
         if (!speakers.isEmpty() && tries < speakers.size()) {
-            ask(now, here.groups.source(speakers.get(Math.floorMod(home + detour, speakers.size()))));
+            ask(now, here.groups.source(speakers.get(Math.floorMod(home + detour, speakers.size()))), false);
             return;
         }
         List<String> present = here.grouping.names(here.own).stream().filter(name ->
             here.members.state(name) == State.PRESENT && !name.equals(here.self)).toList();
         if (!present.isEmpty()) {
-            ask(now, here.groups.source(present.get(here.random.nextInt(present.size()))));
+            ask(now, here.groups.source(present.get(here.random.nextInt(present.size()))), false);
         }
     }
 
-    private void ask(long now, String to) {
+    /** Of each of all speakers its own part joins to the whole; one that is asked alone has to tell all. */
+    private void ask(long now, String to, boolean ownPart) {
         asked = to;
         Source source = sources.get(to);
         Question question = here.questions.ask(now, Kind.ASK_TABLE, to, -1, null);
         // To whom groups hear nothing is told to speakers only, and as often as groups themselves say it.
         boolean silent = here.speaker() && (source == null || source.times++ % 2 == 0);
-        here.send(to, here.writer(Kind.ASK_TABLE, question.sequence).since(source == null ? 0 : source.epoch,
-            source == null ? 0 : source.version, silent));
+        boolean anew = source == null || source.part && !ownPart; // it passed over what was not its own
+        here.send(to, here.writer(Kind.ASK_TABLE, question.sequence).since(anew ? 0 : source.epoch,
+            anew ? 0 : source.version, silent, ownPart));
     }
 
     /** Another one is asked. */
@@ -132,6 +134,7 @@
         answered = question.to;
         source.askedAt = question.at;
         source.version = told.version;
+        source.part = told.ownPart;
         for (Told row : told.rows) {
             if (row.index() < source.rows.length && (alike || row.key() != 0)) {
                 source.rows[row.index()] = summary(row, told.list, alike);
@@ -142,7 +145,8 @@
             int age = told.ages[index] & 0xff;
             source.out[index] = age == Message.OUT;
             if (age <= Message.OLDEST && source.rows[index] != null) {
-                here.hear(now, source.rows[index], here.groups.aged(age * here.rhythm.unit(), trip));
+                here.hear(now, source.rows[index], here.groups.aged(age * here.rhythm.unit(), trip),
+                    false);
             }
         }
         if (alike) {
@@ -154,7 +158,7 @@
             }
         }
         if (told.more && !told.rows.isEmpty()) {
-            ask(now, question.to);
+            ask(now, question.to, here.speaker());
         }
     }
 
--- a/fleet/src/main/java/dockrelay/fleet/group/TableTeller.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/TableTeller.java
@@ -27,7 +27,8 @@
         int groups = here.grouping.groups();
         List<Integer> changed = new ArrayList<>();
         for (int group = 0; group < groups; group++) {
-            if (group != here.own && table.summary(group) != null && table.version(group) > since) {
+            if (group != here.own && table.summary(group) != null && table.version(group) > since
+                && tells(asked, group)) {
                 changed.add(group);
             }
         }
@@ -44,14 +45,20 @@
         long upTo = more ? table.version(rows.get(written - 1).index()) : table.version();
         byte[] ages = new byte[groups];
         for (int group = 0; group < groups; group++) {
-            ages[group] = (byte) age(now, group, keyed, upTo);
+            int age = age(now, group, keyed, upTo);
+            ages[group] = (byte) (tells(asked, group) || age == Message.OUT ? age : Message.NONE);
+        }
+        writer.upTo(epoch, upTo, more);
+        if (asked.ownPart) {
+            writer.ownAges(ages);
+        } else {
+            writer.ages(ages);
         }
-        writer.upTo(epoch, upTo, more).ages(ages);
         if (asked.wantsSilent && !keyed) {
             List<SilentTo> silent = new ArrayList<>();
             for (int group = 0; group < groups; group++) {
                 byte[] bits = group == here.own ? null : table.silent(now, group);
-                if (bits != null && bits.length > 0) {
+                if (bits != null && bits.length > 0 && tells(asked, group)) {
                     silent.add(new SilentTo(group, java.util.Arrays.copyOf(bits, (groups + 7) / 8),
                         units(table.silentAge(now, group))));
                 }
@@ -65,6 +72,11 @@
         here.send(from, writer);
     }
 
+    /** Speakers ask each other for what each has asked for: all else they ask for, or hear of, themselves. */
+    private boolean tells(Message asked, int group) {
+        return !asked.ownPart || group == here.own || here.table.firstHand(group);
+    }
+
     private int age(long now, int group, boolean keyed, long upTo) {
         if (group == here.own) {
             return keyed ? 0 : Message.NONE;
--- a/fleet/src/main/java/dockrelay/fleet/group/Writer.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/Writer.java
@@ -19,7 +19,7 @@
     private static final int ALIKE_AGES = 64, MOST_OF_ONE = 5;
     /** The most that a row of a table, or a summary, takes. */
     private static final int LONGEST_ROW = 3 + 1 + 12 + 5 * 3 + 4, LONGEST_SUMMARY = 17 + 5 * 3 + 4 + 1
-        + 4 * Speakers.SPEAKERS;
+        + 4 * Speakers.MOST;
 
     private final ByteBuffer out = ByteBuffer.allocate(LONGEST);
     private int start = -1;
@@ -84,11 +84,12 @@
         return this;
     }
 
-    Writer since(int epoch, long version, boolean wantsSilent) {
+    Writer since(int epoch, long version, boolean wantsSilent, boolean ownPart) {
         begin(Message.SINCE);
         out.putInt(epoch);
         Numbers.put(out, version);
-        out.put((byte) ((wantsSilent ? Message.WANTS_SILENT : 0) + Message.READS_BRIEF));
+        out.put((byte) ((wantsSilent ? Message.WANTS_SILENT : 0) + Message.READS_BRIEF
+            + (ownPart ? Message.OWN_PART : 0)));
         end();
         return this;
     }
@@ -109,6 +110,22 @@
         return this;
     }
 
+    /** The same of a part: how many groups there are, then each group that has one, by the way to it. */
+    Writer ownAges(byte[] ages) {
+        begin(Message.OWN_AGES);
+        Numbers.put(out, ages.length);
+        int before = -1;
+        for (int group = 0; group < ages.length; group++) {
+            if ((ages[group] & 0xff) != Message.NONE) {
+                Numbers.put(out, group - before - 1);
+                out.put(ages[group]);
+                before = group;
+            }
+        }
+        end();
+        return this;
+    }
+
     /**
      * Rows in their order; returns how many there was room for beside so many bytes. With the names of each
      * group, counts that follow from them are left out; without, as for one who cannot read that, none is.
--- a/fleet/src/test/java/dockrelay/fleet/group/GroupSlopeTest.java
+++ b/fleet/src/test/java/dockrelay/fleet/group/GroupSlopeTest.java
@@ -19,7 +19,7 @@
     /** Datagrams likewise: one question and one answer a second to each group, by 32 members, 3 of them. */
     private static final double DATAGRAMS = 0.2, MOST_DATAGRAMS = 2;
     /** A speaker holds its own table and those of the others; on the mean a member has its own and a few. */
-    private static final int MOST_TABLES = Speakers.SPEAKERS, MEAN_TABLES = 3;
+    private static final int MOST_TABLES = Speakers.LEAST, MEAN_TABLES = 3;
 
     private record Cost(double mean, double most, double datagrams, double mostDatagrams, int rows,
                         double meanRows) {
