--- /dev/null
+++ b/proxy/src/test/java/dockrelay/proxy/ListCrossingTest.java
@@ -0,0 +1,205 @@
+package dockrelay.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockrelay.proxy.Fakes.BackendFake;
+import dockrelay.proxy.Fakes.ClientFake;
+import dockrelay.proxy.Fakes.DiscoveryFake;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Lists and reloads that come while a backend drains and still has requests. */
+class ListCrossingTest {
+    private static final String SERVED = Fakes.answer("200 OK", "", "served"),
+        LATE = Fakes.answer("200 OK", "", "late"),
+        HEALTH = "GET /healthz HTTP/1.1\r\nHost: app\r\n\r\n";
+    private static final int SOCKETS = 1024, SOME = 4, ROUNDS = 10;
+
+    private final DiscoveryFake discovery = new DiscoveryFake();
+    private final CountDownLatch released = new CountDownLatch(1);
+    private final BackendFake draining = new BackendFake(request -> {
+        try {
+            released.await();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+        return LATE;
+    });
+    private volatile CountDownLatch held = new CountDownLatch(0);
+    private final BackendFake staying = new BackendFake(this::served), newest = new BackendFake(this::served);
+    private Proxy proxy;
+
+    private String served(String request) {
+        try {
+            held.await();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+        return SERVED;
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        released.countDown();
+        held.countDown();
+        if (proxy != null) {
+            proxy.stop();
+        }
+        draining.close();
+        staying.close();
+        newest.close();
+        discovery.close();
+    }
+
+    private static String roomy(String entry) {
+        return entry.replace("\"cell\":1,", "\"cell\":64,");
+    }
+
+    /** With room for more than the request that it has: it would be sent to if it did not drain. */
+    private String first(String state) {
+        return roomy(Fakes.entry("s-1", draining.port(), state));
+    }
+
+    private String leaving() {
+        return first("leaving");
+    }
+
+    private String active() {
+        return roomy(Fakes.entry("s-2", staying.port(), "active"));
+    }
+
+    /** Told last, so that what it serves shows that all before was taken. */
+    private String last() {
+        return roomy(Fakes.entry("s-3", newest.port(), "active"));
+    }
+
+    /** A proxy with one request that the only backend has in hand. */
+    private ClientFake held() throws Exception {
+        discovery.first(DiscoveryFake.list(1, true, first("active")));
+        proxy = new Proxy(Fakes.config(discovery.port(), SOCKETS));
+        Fakes.await("healthz 200", () -> {
+            try (ClientFake client = new ClientFake(proxy)) {
+                return client.send(HEALTH).status() == 200;
+            } catch (IOException e) {
+                return false;
+            }
+        });
+        ClientFake waits = new ClientFake(proxy);
+        waits.send(ClientFake.post("put", "9.0"));
+        Fakes.await("it has the request", () -> draining.requests.size() == 1);
+        return waits;
+    }
+
+    /** The same, and the backend drains from then on. */
+    private ClientFake drained() throws Exception {
+        ClientFake waits = held();
+        discovery.push(DiscoveryFake.list(2, false, leaving(), active()));
+        awaitServed(staying);
+        return waits;
+    }
+
+    /** This one is known. */
+    private void awaitServed(BackendFake by) {
+        Fakes.await("it serves", () -> {
+            try (ClientFake client = new ClientFake(proxy)) {
+                return client.send(ClientFake.get("1.0")).status() == 200 && !by.requests.isEmpty();
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
+    /** All others have something in hand, so that whoever may be sent to is. */
+    private void assertNothingNew() throws IOException {
+        int served = 0;
+        for (int round = 0; round < ROUNDS; round++) {
+            served += takenByOthers();
+        }
+        assertTrue(served > SOME * ROUNDS / 2, served + " served"); // it may shed some, as these take long
+    }
+
+    private int takenByOthers() throws IOException {
+        held = new CountDownLatch(1);
+        int before = staying.requests.size() + newest.requests.size();
+        List<ClientFake> clients = new ArrayList<>();
+        for (int i = 0; i < SOME; i++) {
+            clients.add(new ClientFake(proxy).send(ClientFake.post("put", "9.0")));
+        }
+        Fakes.await("all are in hand, or turned away", () -> staying.requests.size() + newest.requests.size()
+            + draining.requests.size() + clients.stream().filter(ListCrossingTest::answered).count()
+            == before + 1 + SOME);
+        assertEquals(1, draining.requests.size(), "nothing new");
+        held.countDown();
+        int served = 0;
+        for (ClientFake client : clients) {
+            int status = client.status();
+            assertTrue(status == 200 || status == 503, "answered by " + status);
+            served += status == 200 ? 1 : 0;
+            client.close();
+        }
+        return served;
+    }
+
+    private static boolean answered(ClientFake client) {
+        try {
+            return client.socket.getInputStream().available() > 0;
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** What is under way ends there, and nothing new comes. */
+    private void assertDrains(ClientFake waits) throws IOException {
+        assertNothingNew();
+        released.countDown();
+        String answer = waits.answer();
+        assertEquals("late", answer.substring(answer.length() - 4), answer);
+        waits.close();
+        Fakes.await("its connection is closed", () -> draining.open.isEmpty());
+        assertEquals(1, draining.requests.size(), "nothing new, and nothing twice");
+    }
+
+    @Test
+    void aWholeListThatLeavesOutADrainingBackendLeavesItsRequestsAlone() throws Exception {
+        ClientFake waits = drained();
+        discovery.push(DiscoveryFake.list(3, true, active()));
+        discovery.push(DiscoveryFake.list(4, false, last()));
+        awaitServed(newest);
+        assertDrains(waits);
+    }
+
+    /** The same with no word of a drain before: it is gone, also where it still answers. */
+    @Test
+    void aWholeListThatLeavesOutABackendThatServedLeavesItsRequestsAlone() throws Exception {
+        ClientFake waits = held();
+        discovery.push(DiscoveryFake.list(2, true, active(), last()));
+        awaitServed(newest);
+        assertDrains(waits);
+    }
+
+    /** From the reload to the new address's first list goes by what the old one said. */
+    @Test
+    void aReloadBetweenADrainAndItsEndKeepsIt(@TempDir Path folder) throws Exception {
+        ClientFake waits = drained();
+        try (DiscoveryFake other = new DiscoveryFake()) {
+            other.refuse = true;
+            Path file = folder.resolve("config.json");
+            Files.writeString(file, Fakes.text(0, other.port(), SOCKETS, "", ""));
+            proxy.reload(file);
+            Fakes.await("asked at the new address, in vain", () -> !other.asked.isEmpty());
+            assertNothingNew();
+            other.first(DiscoveryFake.list(1, true, leaving(), active(), last()));
+            other.refuse = false;
+            awaitServed(newest);
+            assertDrains(waits);
+        }
+    }
+}
