Leave room for the ages of a speaker's own part, two bytes a group

The answer kept a byte a group free for ages; the section OWN_AGES takes two, and a speaker that has asked for nearly all groups itself tells nearly all: a datagram full of rows overflowed (BufferOverflowException on the proxy's loop).

Change: two bytes a group are kept free where a part is asked for; nothing else.

--- a/fleet/src/main/java/dockrelay/fleet/group/TableTeller.java
+++ b/fleet/src/main/java/dockrelay/fleet/group/TableTeller.java
@@ -39,20 +39,21 @@
         }
         changed.forEach(group -> rows.add(row(group, table.summary(group), keyed)));
         Writer writer = here.writer(Kind.TELL_TABLE, asked.sequence);
-        int written = writer.rows(rows, keyed, groups + 24, asked.readsBrief
+        int ages = groups * (asked.ownPart ? 2 : 1); // the way to a group and its age, or the age alone
+        int written = writer.rows(rows, keyed, ages + 24, asked.readsBrief
             ? group -> here.grouping.names(group).size() : null);
         boolean more = written < rows.size();
         long upTo = more ? table.version(rows.get(written - 1).index()) : table.version();
-        byte[] ages = new byte[groups];
+        byte[] told = new byte[groups];
         for (int group = 0; group < groups; group++) {
             int age = age(now, group, keyed, upTo);
-            ages[group] = (byte) (tells(asked, group) || age == Message.OUT ? age : Message.NONE);
+            told[group] = (byte) (tells(asked, group) || age == Message.OUT ? age : Message.NONE);
         }
         writer.upTo(epoch, upTo, more);
         if (asked.ownPart) {
-            writer.ownAges(ages);
+            writer.ownAges(told);
         } else {
-            writer.ages(ages);
+            writer.ages(told);
         }
         if (asked.wantsSilent && !keyed) {
             List<SilentTo> silent = new ArrayList<>();
--- a/fleet/src/test/java/dockrelay/fleet/group/TableAskerTest.java
+++ b/fleet/src/test/java/dockrelay/fleet/group/TableAskerTest.java
@@ -13,7 +13,7 @@
 
 /** What a member goes by while it changes from one speaker to another. */
 class TableAskerTest {
-    private static final int SEEDS = 8;
+    private static final int SEEDS = 8, MANY = 220;
 
     private static FleetWorld world(long seed, Map<String, Integer> sizes) {
         Map<String, List<String>> zones = new TreeMap<>();
@@ -66,4 +66,22 @@
             others.forEach(one -> world.cut(one.name, speaker.name, -1));
         }
     }
+
+    /** One that has asked for all groups itself, as nobody else spoke, tells a newcomer all of them. */
+    @Test
+    void ownPartOfAllGroupsLeavesRoomForItsAges() {
+        Map<String, Integer> sizes = new TreeMap<>();
+        for (int group = 0; group < MANY; group++) {
+            sizes.put("z" + group + "-", group == 0 ? 2 : 1);
+        }
+        FleetWorld world = world(1, sizes);
+        world.kill("z0-0");
+        world.runUntil(14 * SECOND);
+        world.start("z0-0", world.current, 2);
+        world.runUntil(18 * SECOND);
+        FleetWorld.Process back = world.processes.get("z0-0");
+        assertTrue(back.machine.speaker());
+        assertEquals(MANY + 1, back.machine.standing(back.local()).members());
+        assertEquals(MANY, back.machine.groups(back.local()).stream().filter(GroupRow::fresh).count());
+    }
 }
