--- a/proxy/src/test/java/dockrelay/proxy/PiecesTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/PiecesTest.java
@@ -12,9 +12,9 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Requests that come in pieces, cut at every byte. Each proxy is given fewer than 40 of them: from then on the
- * module knows the class's floor, here a part of a millisecond, and sheds by chance after answers that took
- * three times as long, as they do on a busy machine. What is looked at here is what was read.
+ * Requests that come in pieces, cut at every byte. Each proxy is given fewer than 40 of them: from then on
+ * the module knows the class's floor, here a part of a millisecond, and sheds by chance after answers that
+ * took three times as long, as they do on a busy machine. What is looked at here is what it reads.
  */
 class PiecesTest {
     private static final int CUTS_A_PROXY = 15; // with two requests a cut
