Apply long lists and many changes a batch in each turn of the event loop

Change: ListApplier applies what discovery says in its order, 256 entries a turn; the module hears of differences only, those named first, those left out as gone after them. Changes that wait are applied together, 4,096 at the most, and the watch is not read while as many wait. Entries are sorted by their place in the common order (RingOrder, Balancer.ringPosition), so that a batch touches few of the module's blocks. What is short, and the first list of all, is applied at once as before. A number that was read before an earlier word was in force is looked up anew.

--- a/decision/src/main/java/dockrelay/Balancer.java
+++ b/decision/src/main/java/dockrelay/Balancer.java
@@ -48,6 +48,14 @@
         }
     }
 
+    /**
+     * Where a backend stands in the order that all proxies have in common. Of many changes those that stand
+     * near each other there are best told together: what they cost goes by the parts of it that they touch.
+     */
+    static long ringPosition(long backend) {
+        return RiqBalancer.mixed(backend);
+    }
+
     /**
      * A class of requests. An answer within the aim earns the full worth, a later one lateWorth of it.
      * Its attempts go only to backends in the zones of runsIn and of the kinds of kindsOpen; a null one
--- a/decision/src/main/java/dockrelay/Ring.java
+++ b/decision/src/main/java/dockrelay/Ring.java
@@ -67,7 +67,7 @@
 
     /** A backend's place; one of this number is made for it where it has none. */
     Place place(long id, int number) {
-        long key = RiqBalancer.mixed(id);
+        long key = Balancer.ringPosition(id);
         Block block = blocks.get(block(key));
         int index = index(block, key);
         return index >= 0 ? block.places.get(index) : add(block, -1 - index, new Place(number, key));
--- a/proxy/src/main/java/dockrelay/proxy/Discovery.java
+++ b/proxy/src/main/java/dockrelay/proxy/Discovery.java
@@ -15,7 +15,7 @@
  * when the module first says so; from then on it is opened anew whenever it ends, in the time that {@link
  * ListClock} sums up, whatever the module waits for: it is only told of failures.
  */
-final class Discovery implements ListWatch.Hearer {
+final class Discovery implements ListWatch.Hearer, ListApplier.Sink {
     private static final long FIRST_BACKOFF_MILLIS = 50;
     /** Pushed lists count from the moment at which the agent has them: well within a drain's grace. */
     private static final long MOST_BACKOFF_MILLIS = 500;
@@ -30,6 +30,7 @@
     private final boolean asked;
     private final RequestTable table;
     private final Listing listing;
+    private final ListApplier applier;
     private volatile boolean anyReady;
     private long version = -1;
     private final Backoff backoff;
@@ -43,6 +44,8 @@
 
     Discovery(Bootstrap template, EventLoop loop, Config config, RequestTable table, Operators operators) {
         this.listing = new Listing(operators);
+        // Not by execute: what is executed from within the loop may run before the next look at the sockets.
+        this.applier = new ListApplier(listing, task -> loop.schedule(task, 0, TimeUnit.NANOSECONDS), this);
         this.asked = config.settings().askedDiscovery();
         long within = TimeUnit.MICROSECONDS.toMillis(config.settings().rules().askWithin());
         long most = within <= 0 ? ListClock.MOST_APART : Math.min(within, ListClock.MOST_APART);
@@ -88,7 +91,8 @@
         }
     }
 
-    private void tell(ListScope scope, List<RequestTable.Member> members) {
+    @Override
+    public void tell(ListScope scope, List<RequestTable.Member> members) {
         table.members(scope, members);
         anyReady = listing.anyReady();
     }
@@ -210,7 +214,6 @@
     @Override
     public void said(ListWatch by, ListParser.Update update) {
         long told = update.version();
-        boolean full = update.full();
         takes(by);
         boolean first = by != heard;
         heard = by;
@@ -223,11 +226,24 @@
         }
         behind = 0;
         backoff.reset();
-        List<RequestTable.Member> members = listing.take(update.entries(), full);
-        Log.line("discovery", (full ? "list of version " : "changes to version ") + told + ", entries "
-            + members.size());
-        version = told;
-        tell(full ? ListScope.FULL : ListScope.DELTA, members);
+        version = told; // whoever is asked next need not say it again
+        applier.apply(update);
+        if (applier.isFull()) {
+            by.flow(false);
+        }
+    }
+
+    @Override
+    public void applied(ListParser.Update update) {
+        Log.line("discovery", (update.full() ? "list of version " : "changes to version ") + update.version()
+            + ", entries " + update.entries().size());
         listed.countDown();
     }
+
+    @Override
+    public void idle() {
+        if (watch != null) {
+            watch.flow(true);
+        }
+    }
 }
--- a/proxy/src/main/java/dockrelay/proxy/ListWatch.java
+++ b/proxy/src/main/java/dockrelay/proxy/ListWatch.java
@@ -87,6 +87,11 @@
         return within && System.nanoTime() - movedAt < LATENESS_NANOS;
     }
 
+    /** Whether more of it is read: while what it said is being applied, what comes next waits where it is. */
+    void flow(boolean on) {
+        channel.config().setAutoRead(on);
+    }
+
     /** Ends it; nothing more is heard of it. */
     void close() {
         over = true;
--- a/proxy/src/main/java/dockrelay/proxy/Listing.java
+++ b/proxy/src/main/java/dockrelay/proxy/Listing.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -103,36 +104,126 @@
         }
     }
 
-    /** Takes entries in, as they are to be told; a full list drops whom it does not name. */
+    /** Takes entries in at once, as they are to be told; a full list drops whom it does not name. */
     List<Member> take(List<?> entries, boolean full) {
-        LongObjectMap<Member> named = full ? maps.apply(entries.size()) : null;
-        List<Member> told = new ArrayList<>(entries.size());
-        for (Object item : entries) {
-            Member member;
-            try {
-                member = numbered(item instanceof Member read ? read : member((Map<?, ?>) item));
-            } catch (RuntimeException e) {
-                Log.error("discovery", e); // guards against one bad entry hiding all the others
-                continue;
+        Taking taking = new Taking(entries, full);
+        List<Member> told = taking.named(entries.size());
+        while (!taking.done()) {
+            taking.next(Integer.MAX_VALUE); // whom a full list does not name the module finds itself
+        }
+        return told;
+    }
+
+    /**
+     * The same as little at a time as the caller has time for: nothing else may be taken in meanwhile. Those
+     * that stand near each other in the order of all come together, in whatever order they are said.
+     */
+    Taking takingInParts(List<?> entries, boolean full) {
+        Taking taking = new Taking(entries, full);
+        taking.order = new RingOrder(entries, numbers);
+        return taking;
+    }
+
+    /** A list, or changes, on the way in: first those named, then those that a full list leaves out. */
+    final class Taking {
+        /** So many are looked at, to be sorted or compared, in the time in which one is taken in. */
+        private static final int LOOKED_AT = 16;
+
+        private final LongObjectMap<Member> named; // by a full list so far; null where changes are said
+        private final List<Member> leftOut = new ArrayList<>();
+        private List<?> entries;
+        private RingOrder order; // while they are sorted
+        private Iterator<Member> uncompared;
+        private boolean leaving; // the entries are those left out
+        private int at;
+
+        private Taking(List<?> entries, boolean full) {
+            this.entries = entries;
+            this.named = full ? maps.apply(entries.size()) : null;
+        }
+
+        boolean done() {
+            return order == null && at == entries.size() && (named == null || leaving);
+        }
+
+        /** What is to be told next, of at most so many; there may be nothing for a while. */
+        List<Member> next(int most) {
+            int looked = (int) Math.min(Integer.MAX_VALUE, (long) most * LOOKED_AT);
+            List<Member> told = List.of();
+            if (order != null) {
+                sort(looked);
+            } else if (at == entries.size()) {
+                compare(looked);
+            } else {
+                told = leaving ? left(most) : named(most);
             }
-            long id = member.backend().id();
-            put(id, member);
-            if (full && known.get(id) == null) {
-                named.remove(id);
-            } else if (full) {
-                named.put(id, member);
+            if (leaving && done()) {
+                known = named; // the same by now, in a table of its size
+            }
+            return told;
+        }
+
+        private void sort(int looked) {
+            if (order.look(looked)) {
+                entries = order.sorted();
+                order = null;
             }
-            told.add(overlaid(member));
         }
-        if (full) {
-            for (Member member : known.values()) {
+
+        /** Nothing is put or removed in between: the walk goes on where it was. */
+        private void compare(int looked) {
+            uncompared = uncompared == null ? known.values().iterator() : uncompared;
+            for (int i = 0; uncompared.hasNext() && i < looked; i++) {
+                Member member = uncompared.next();
                 if (!named.containsKey(member.backend().id())) {
-                    forget(member);
+                    leftOut.add(member);
                 }
             }
-            known = named;
+            if (!uncompared.hasNext()) {
+                leaving = true;
+                order = new RingOrder(leftOut, numbers);
+                at = 0;
+            }
+        }
+
+        private List<Member> named(int most) {
+            int end = (int) Math.min(entries.size(), at + (long) most);
+            List<Member> told = new ArrayList<>(end - at);
+            while (at < end) {
+                Object item = entries.get(at++);
+                Member member;
+                try {
+                    member = numbered(item instanceof Member read ? read : member((Map<?, ?>) item));
+                } catch (RuntimeException e) {
+                    Log.error("discovery", e); // guards against one bad entry hiding all the others
+                    continue;
+                }
+                long id = member.backend().id();
+                put(id, member);
+                if (named != null && known.get(id) == null) {
+                    named.remove(id);
+                } else if (named != null) {
+                    named.put(id, member);
+                }
+                told.add(overlaid(member));
+            }
+            return told;
+        }
+
+        /** Whom a full list leaves out is gone, also where it still answers. */
+        private List<Member> left(int most) {
+            int end = (int) Math.min(entries.size(), at + (long) most);
+            List<Member> told = new ArrayList<>(end - at);
+            while (at < end) {
+                Member member = (Member) entries.get(at++);
+                Backend was = member.backend();
+                Member gone = new Member(member.name(), new Backend(was.id(), was.zone(), was.kind(),
+                    was.cell(), Phase.GONE, was.weight(), was.startedAt()), member.address());
+                put(was.id(), gone);
+                told.add(overlaid(gone));
+            }
+            return told;
         }
-        return told;
     }
 
     private void put(long id, Member member) {
@@ -153,13 +244,16 @@
         operators.unname(member.name());
     }
 
-    /** Gives one another number where its own is somebody else's. */
+    /**
+     * Gives one another number where its own is somebody else's, and the one that it has by now where it was
+     * read before an earlier word was taken in whole.
+     */
     private Member numbered(Member member) {
-        Member there = known.get(member.backend().id());
-        if (there == null || there.name().equals(member.name())) {
+        long number = id(member.name());
+        Member there = known.get(number);
+        if (member.backend().id() == number && (there == null || there.name().equals(member.name()))) {
             return member;
         }
-        long number = id(member.name());
         while (known.get(number) != null && !known.get(number).name().equals(member.name())) {
             number++;
         }
--- /dev/null
+++ b/proxy/src/test/java/dockrelay/proxy/ListApplierTest.java
@@ -0,0 +1,285 @@
+package dockrelay.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockrelay.Balancer.Backend;
+import dockrelay.Balancer.ListScope;
+import dockrelay.Balancer.Phase;
+import dockrelay.proxy.ListParser.Update;
+import dockrelay.proxy.RequestTable.Member;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.ToLongFunction;
+import org.junit.jupiter.api.Test;
+
+/** Long lists a batch a turn: turns are the test's own, what each costs is counted. */
+class ListApplierTest {
+    private static final int BATCH = ListApplier.BATCH;
+    private static final int NAMES = 1_500;
+    private static final int[] SIZES = {2_000, 4_000, 8_000};
+
+    /** One that is told, and holds what it was told as the pool and the module do. */
+    private static final class Told implements ListApplier.Sink {
+        final Operators operators = new Operators(null);
+        final Listing listing;
+        final Deque<Runnable> turns = new ArrayDeque<>();
+        final ListApplier applier;
+        final Map<Long, Backend> holds = new TreeMap<>();
+        final List<ListScope> scopes = new ArrayList<>();
+        final List<Long> applied = new ArrayList<>();
+        int most, idle, failing;
+
+        Told() {
+            this(EntryReader::number);
+        }
+
+        Told(ToLongFunction<String> numbers) {
+            listing = new Listing(operators, numbers, Listing::map);
+            applier = new ListApplier(listing, turns::add, this);
+        }
+
+        @Override
+        public void tell(ListScope scope, List<Member> members) {
+            if (failing > 0 && --failing == 0) {
+                throw new IllegalStateException("a fault of whoever is told");
+            }
+            scopes.add(scope);
+            most = Math.max(most, members.size());
+            if (scope == ListScope.FULL) {
+                holds.clear();
+            }
+            for (Member member : members) {
+                holds.put(member.backend().id(), member.backend());
+            }
+            holds.values().removeIf(backend -> backend.phase() == Phase.GONE);
+        }
+
+        @Override
+        public void applied(Update update) {
+            applied.add(update.version());
+        }
+
+        @Override
+        public void idle() {
+            idle++;
+        }
+
+        int turn() {
+            int turned = 0;
+            for (Runnable next = turns.poll(); next != null; next = turns.poll()) {
+                next.run();
+                turned++;
+            }
+            return turned;
+        }
+
+        /** What the listing has, by names. */
+        Map<String, Backend> listed() {
+            Map<String, Backend> listed = new TreeMap<>();
+            for (int i = 0; i < NAMES; i++) {
+                Member member = listing.get("s-" + i);
+                if (member != null) {
+                    listed.put(member.name(), member.backend());
+                }
+            }
+            return listed;
+        }
+    }
+
+    private static Map<String, Object> entry(int number, String state, double weight) {
+        Map<String, Object> entry = new HashMap<>();
+        entry.put("id", "s-" + number);
+        entry.put("state", state);
+        entry.put("addr", "10.0.0.1:80");
+        entry.put("zone", "z1");
+        entry.put("kind", "k1");
+        entry.put("cell", 3L);
+        entry.put("weight", weight);
+        entry.put("started_ms", 0L);
+        return entry;
+    }
+
+    /** Entries as they are when they are read, which is before what was said before is applied in whole. */
+    private static Update update(Told by, long version, boolean full, List<Map<String, Object>> entries) {
+        List<Object> read = new ArrayList<>();
+        entries.forEach(entry -> read.add(by.listing.read(entry)));
+        return new Update(version, full, read);
+    }
+
+    private static List<Map<String, Object>> entries(int from, int to, String state) {
+        List<Map<String, Object>> entries = new ArrayList<>();
+        for (int i = from; i < to; i++) {
+            entries.add(entry(i, state, 1));
+        }
+        return entries;
+    }
+
+    private static Told listed(int count) {
+        Told told = new Told();
+        told.applier.apply(update(told, 1, true, entries(0, count, "active")));
+        assertEquals(List.of(ListScope.FULL), told.scopes, "nothing can be served before the first list");
+        told.turn();
+        told.scopes.clear();
+        told.most = 0;
+        return told;
+    }
+
+    @Test
+    void noTurnTakesInMoreThanABatchOfWhateverIsSaid() {
+        for (int size : SIZES) {
+            Told told = listed(size);
+            told.applier.apply(update(told, 2, true, entries(0, size, "active")));
+            int turns = told.turn() + 1;
+            assertEquals(BATCH, told.most);
+            assertTrue(turns <= size / BATCH + 2 * (size / (16 * BATCH)) + 6, turns + " turns of " + size);
+            told.applier.apply(update(told, 3, false, entries(0, size / 7, "left")));
+            told.turn();
+            told.applier.apply(update(told, 4, true, entries(size, 2 * size, "active")));
+            told.turn();
+            assertEquals(BATCH, told.most);
+            assertEquals(size, told.holds.size());
+            assertFalse(told.scopes.contains(ListScope.FULL), "of which the module would walk over all");
+            assertEquals(List.of(1L, 2L, 3L, 4L), told.applied);
+        }
+    }
+
+    @Test
+    void whatIsShortIsAppliedAtOnceAndInOneWord() {
+        Told told = listed(BATCH);
+        told.applier.apply(update(told, 2, true, entries(1, BATCH, "active")));
+        assertEquals(List.of(ListScope.FULL), told.scopes);
+        assertEquals(BATCH - 1, told.holds.size());
+        told.turn();
+        told.applier.apply(update(told, 3, false, entries(1, 3, "leaving")));
+        assertEquals(List.of(ListScope.FULL, ListScope.DELTA), told.scopes);
+        assertEquals(Phase.DRAINING, told.holds.get(EntryReader.number("s-1")).phase());
+        assertEquals(1, told.turn());
+        assertEquals(3, told.idle);
+    }
+
+    /** As fast as it is read: a turn has as much to do with many short ones as with a long one. */
+    @Test
+    void manyShortChangesAreToldABatchATurn() {
+        for (int size : SIZES) {
+            Told told = listed(size);
+            for (int i = 0; i < size; i++) {
+                told.applier.apply(update(told, 2 + i, false, entries(i, i + 1, "leaving")));
+            }
+            assertEquals(1, told.scopes.size(), "the first at once, the others in later turns");
+            assertEquals(size > ListApplier.MOST_WAITING, told.applier.isFull());
+            int turns = told.turn();
+            assertEquals(BATCH, told.most);
+            int together = size / ListApplier.MOST_WAITING + 1;
+            assertTrue(turns <= size / BATCH + 4 * together + 2, turns + " turns of " + size);
+            assertTrue(told.scopes.size() <= size / BATCH + together + 1, told.scopes.size() + " words");
+            assertFalse(told.applier.isFull());
+            assertEquals(size + 1, told.applied.size());
+            assertTrue(told.holds.values().stream().allMatch(each -> each.phase() == Phase.DRAINING));
+        }
+    }
+
+    @Test
+    void whatIsSaidMeanwhileComesAfterIt() {
+        Told told = listed(1_000);
+        told.applier.apply(update(told, 2, true, entries(0, 1_000, "active")));
+        told.applier.apply(update(told, 3, false, entries(999, 1_000, "left")));
+        told.applier.apply(update(told, 4, false, entries(998, 999, "leaving")));
+        assertEquals(1, told.idle);
+        assertEquals(List.of(1L), told.applied);
+        assertEquals(1_000, told.holds.size());
+        told.turn();
+        assertEquals(2, told.idle);
+        assertEquals(List.of(1L, 2L, 3L, 4L), told.applied);
+        assertEquals(999, told.holds.size());
+        assertEquals(Phase.DRAINING, told.listing.get("s-998").backend().phase());
+    }
+
+    /** Left out by a list that is being applied: what an operator says of one does not bring it back. */
+    @Test
+    void whatAnOperatorSaysMeanwhileBringsNobodyBack() throws Exception {
+        Told told = listed(1_000);
+        told.operators.detach("s-900");
+        told.applier.apply(update(told, 2, true, entries(0, 500, "active")));
+        while (told.holds.size() > 900) {
+            told.turns.poll().run();
+        }
+        told.operators.attach("s-900");
+        for (int i = 500; i < 1_000; i++) {
+            Member member = told.listing.operated("s-" + i);
+            assertEquals(member != null, told.holds.containsKey(EntryReader.number("s-" + i)),
+                "told as long as it is held, and no longer");
+        }
+        told.turn();
+        assertEquals(500, told.holds.size());
+    }
+
+    @Test
+    void aFaultInOneBatchDoesNotHoldUpTheRest() {
+        Told told = listed(1_000);
+        told.failing = 2;
+        told.applier.apply(update(told, 2, false, entries(0, 1_000, "leaving")));
+        told.applier.apply(update(told, 3, false, entries(0, 1, "left")));
+        told.turn();
+        assertEquals(2, told.idle);
+        assertEquals(List.of(1L, 2L, 3L), told.applied);
+    }
+
+    /** One that has taken all in at once, and what it was told a batch at a time, as it is in the end. */
+    private static Told[] played(int seed, ToLongFunction<String> numbers) {
+        Random random = new Random(seed);
+        Told told = new Told(numbers), atOnce = new Told(numbers);
+        for (int version = 1; version <= 12; version++) {
+            boolean full = random.nextInt(3) == 0;
+            List<Map<String, Object>> some = new ArrayList<>();
+            int part = 1 + random.nextInt(9);
+            for (int i = 0; i < NAMES; i++) {
+                if (random.nextInt(10) < part) {
+                    String[] states = {"active", "active", "active", "leaving", "left"};
+                    String state = states[random.nextInt(states.length)];
+                    some.add(random.nextInt(5) > 0 ? entry(i, state, 1 + random.nextInt(2))
+                        : Map.of("id", "s-" + i, "state", state)); // what it leaves out stays as it was
+                }
+            }
+            told.applier.apply(update(told, version, full, some));
+            atOnce.tell(full ? ListScope.FULL : ListScope.DELTA,
+                atOnce.listing.take(update(atOnce, version, full, some).entries(), full));
+            for (int turns = random.nextInt(8); turns > 0 && !told.turns.isEmpty(); turns--) {
+                told.turns.poll().run();
+            }
+        }
+        told.turn();
+        return new Told[] {told, atOnce};
+    }
+
+    /** Lists and changes at random, said in the middle of each other. */
+    @Test
+    void inTheEndAllHoldWhatOneWhoTakesAllInAtOnceHolds() {
+        for (int seed = 1; seed <= 40; seed++) {
+            Told[] both = played(seed, EntryReader::number);
+            assertTrue(both[1].holds.equals(both[0].holds), "held alike, seed " + seed);
+            assertTrue(both[1].listed().equals(both[0].listed()), "listed alike, seed " + seed);
+            assertEquals(both[1].listing.size(), both[0].listing.size(), "seed " + seed);
+            assertEquals(both[1].listing.anyReady(), both[0].listing.anyReady(), "seed " + seed);
+        }
+    }
+
+    /** Who has which number then goes by the order; that each is known by one, and told by it, does not. */
+    @Test
+    void namesThatFallTogetherAreToldApartAlsoWhereTheyAreReadEarly() {
+        for (int seed = 1; seed <= 40; seed++) {
+            Told told = played(seed, name -> EntryReader.number(name) & 0x3FF)[0];
+            Map<Long, Backend> listed = new TreeMap<>();
+            told.listed().values().forEach(backend -> listed.put(backend.id(), backend));
+            assertEquals(told.listing.size(), listed.size(), "seed " + seed);
+            assertTrue(listed.equals(told.holds), "held as listed, seed " + seed);
+        }
+    }
+}
--- a/proxy/src/test/java/dockrelay/proxy/ListCrossingTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/ListCrossingTest.java
@@ -7,6 +7,8 @@
 import dockrelay.proxy.Fakes.ClientFake;
 import dockrelay.proxy.Fakes.DiscoveryFake;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -21,7 +23,7 @@
     private static final String SERVED = Fakes.answer("200 OK", "", "served"),
         LATE = Fakes.answer("200 OK", "", "late"),
         HEALTH = "GET /healthz HTTP/1.1\r\nHost: app\r\n\r\n";
-    private static final int SOCKETS = 1024, SOME = 4, ROUNDS = 10;
+    private static final int SOCKETS = 1024, SOME = 4, ROUNDS = 10, LONG = 3_000, LONGER = 20_000;
 
     private final DiscoveryFake discovery = new DiscoveryFake();
     private final CountDownLatch released = new CountDownLatch(1);
@@ -35,6 +37,8 @@
     });
     private volatile CountDownLatch held = new CountDownLatch(0);
     private final BackendFake staying = new BackendFake(this::served), newest = new BackendFake(this::served);
+    @TempDir
+    private Path marks;
     private Proxy proxy;
 
     private String served(String request) {
@@ -84,7 +88,8 @@
     /** A proxy with one request that the only backend has in hand. */
     private ClientFake held() throws Exception {
         discovery.first(DiscoveryFake.list(1, true, first("active")));
-        proxy = new Proxy(Fakes.config(discovery.port(), SOCKETS));
+        proxy = new Proxy(Fakes.config(discovery.port(), SOCKETS),
+            new Platform(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), marks, null));
         Fakes.await("healthz 200", () -> {
             try (ClientFake client = new ClientFake(proxy)) {
                 return client.send(HEALTH).status() == 200;
@@ -117,6 +122,11 @@
         });
     }
 
+    /** The last one is known; no request is sent for it, which might go to whoever is there before. */
+    private void awaitLast() {
+        Fakes.await("the last one is known", () -> Fakes.call(proxy, "ATTACH s-3\n").startsWith("200 "));
+    }
+
     /** All others have something in hand, so that whoever may be sent to is. */
     private void assertNothingNew() throws IOException {
         int served = 0;
@@ -185,6 +195,52 @@
         assertDrains(waits);
     }
 
+    /** These and many that nothing is sent to: it is applied in many turns. */
+    private String longList(int length, String... first) {
+        List<String> all = new ArrayList<>(List.of(first));
+        for (int i = 0; i < length; i++) {
+            all.add(Fakes.entry("away-" + i, staying.port(), "leaving"));
+        }
+        return DiscoveryFake.list(2, true, all.toArray(new String[0]));
+    }
+
+    /** What is said right behind it counts after it. */
+    @Test
+    void aDrainToldBehindALongListStands() throws Exception {
+        ClientFake waits = held();
+        discovery.push(longList(LONG, active(), first("active")));
+        discovery.push(DiscoveryFake.list(3, false, leaving()));
+        discovery.push(DiscoveryFake.list(4, false, last()));
+        awaitLast();
+        assertDrains(waits);
+    }
+
+    /** A read brings some 130 changes and a turn applies 256 entries, so that more waits than may. */
+    @Test
+    void whatIsSaidFasterThanItIsAppliedWaitsInItsOrder() throws Exception {
+        ClientFake waits = held();
+        int version = 2;
+        StringBuilder all = new StringBuilder(longList(LONGER, active(), first("active"))).append('\n');
+        for (int i = 0; i < 2 * ListApplier.MOST_WAITING; i++) {
+            String entry = i == ListApplier.MOST_WAITING ? leaving()
+                : Fakes.entry("away-" + i, staying.port(), "left");
+            all.append(DiscoveryFake.list(++version, false, entry)).append('\n');
+        }
+        discovery.push(all.append(DiscoveryFake.list(++version, false, last())).toString());
+        awaitLast();
+        assertDrains(waits);
+    }
+
+    /** And what a long list leaves out is gone, in the turns after those that it names. */
+    @Test
+    void aLongListThatLeavesOutABackendThatServedLeavesItsRequestsAlone() throws Exception {
+        ClientFake waits = held();
+        discovery.push(longList(LONG, active()));
+        discovery.push(DiscoveryFake.list(3, false, last()));
+        awaitLast();
+        assertDrains(waits);
+    }
+
     /** From the reload to the new address's first list goes by what the old one said. */
     @Test
     void aReloadBetweenADrainAndItsEndKeepsIt(@TempDir Path folder) throws Exception {
--- a/proxy/src/test/java/dockrelay/proxy/ListProbe.java
+++ b/proxy/src/test/java/dockrelay/proxy/ListProbe.java
@@ -22,9 +22,9 @@
 /**
  * Measures what a list of so many backends costs one proxy: its bytes taken apart, taken in, told to the pool
  * and the module, on one thread. It is no test: it prints processor time of that thread (a pause is the most
- * of it between two reads), the time that the collector took, and memory.
+ * of it in one turn of the loop), the time that the collector took, and memory.
  */
-final class ListProbe implements Balancer.Actions {
+final class ListProbe implements Balancer.Actions, ListApplier.Sink {
     private static final int FEED = 8192;
     private static final int CHANGES = 2_000;
     private static final int PROXIES = 5_700;
@@ -36,11 +36,13 @@
     private final Listing listing = new Listing(new Operators(null));
     private final RequestTable table;
     private final RiqBalancer module;
-    private final ListParser parser = new ListParser(listing::read, this::said);
+    private final Deque<Runnable> turns = new ArrayDeque<>();
+    private final ListApplier applier = new ListApplier(listing, turns::add, this);
+    private final ListParser parser = new ListParser(listing::read, applier::apply);
     private final Deque<Sent> sent = new ArrayDeque<>();
     private String last;
     private int attempt, requests;
-    private long worst, taking;
+    private long worst;
 
     private ListProbe(EventLoop loop) {
         Config config = Fakes.parsed(Fakes.text(0, 1, 1024, "",
@@ -52,14 +54,26 @@
         table.attach(module, () -> { }, message -> { });
     }
 
-    private void said(ListParser.Update update) {
-        ListScope scope = update.full() ? ListScope.FULL : ListScope.DELTA;
-        long before = processor();
-        List<RequestTable.Member> members = listing.take(update.entries(), update.full());
-        taking = processor() - before;
+    @Override
+    public void tell(ListScope scope, List<RequestTable.Member> members) {
         table.members(scope, members);
     }
 
+    @Override
+    public void applied(ListParser.Update update) {
+    }
+
+    @Override
+    public void idle() {
+    }
+
+    /** What one turn of the loop takes; the first one feeds bytes, the others apply what they said. */
+    private long turn(long before) {
+        long took = processor() - before;
+        worst = Math.max(worst, took);
+        return took;
+    }
+
     private static String entry(int number, String state, long startedMillis) {
         return String.format(Locale.ROOT, "{\"id\":\"s-%08x\",\"addr\":\"10.%d.%d.%d:8080\",\"zone\":\"z%d\","
             + "\"kind\":\"m%d\",\"cell\":%d,\"state\":\"%s\",\"weight\":1.0,\"started_ms\":%d}",
@@ -79,15 +93,23 @@
                 byte[] bytes = text.toString().getBytes(StandardCharsets.UTF_8);
                 long before = processor();
                 parser.feed(bytes, bytes.length);
-                long took = processor() - before;
-                spent += took;
-                worst = Math.max(worst, took);
+                spent += turn(before) + turnsLeft();
                 text.setLength(0);
             }
         }
         return spent;
     }
 
+    private long turnsLeft() {
+        long spent = 0;
+        for (Runnable next = turns.poll(); next != null; next = turns.poll()) {
+            long before = processor();
+            next.run();
+            spent += turn(before);
+        }
+        return spent;
+    }
+
     private void request() {
         last = "r" + requests++;
         attempt = 0;
@@ -129,15 +151,14 @@
         double before = used();
         long collected = collected();
         long spent = feed(true, 0, size, 1, "active", 0);
-        print("size %d: whole list %.0f ms, longest pause %.0f ms (%.0f listing), collector %d ms", size,
-            millis(spent), millis(worst), millis(taking), collected() - collected);
+        print("size %d: whole list %.0f ms, longest pause %.1f ms, collector %d ms", size, millis(spent),
+            millis(worst), collected() - collected);
         double after = used();
         print("  heap %.1f MB before, %.1f MB with it, %.0f bytes a backend", before, after,
             (after - before) * 1048576 / size);
         worst = 0;
         spent = feed(true, 0, size, 1, "active", 0);
-        print("  whole list again %.0f ms, longest pause %.0f ms (%.0f listing)", millis(spent),
-            millis(worst), millis(taking));
+        print("  whole list again %.0f ms, longest pause %.1f ms", millis(spent), millis(worst));
         for (int round = 0; round < 2; round++) {
             collected = collected();
             worst = 0;
