Force both ways in which a backend's end meets the taking of its connection

Change: two tests. The end is put into the socket while the loop is held, and the request is taken in that same turn: written to it, RESET, 502, run by nobody. Or the end was read before: a connection of its own, 200, run once. Either fails where the other way is taken.

--- a/proxy/src/test/java/dockrelay/proxy/BackendCrossingTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/BackendCrossingTest.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -31,6 +32,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
@@ -89,10 +91,14 @@
     }
 
     private void take(String id, String spec) {
+        takeInItsTurn(id, spec).syncUninterruptibly();
+    }
+
+    private Future<?> takeInItsTurn(String id, String spec) {
         FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
             "/" + spec + "/x");
-        loop.submit(() -> table.take(new Request(id, spec, null, null, 3_600_000_000L, 0, false), message,
-            answers::add)).syncUninterruptibly();
+        return loop.submit(() -> table.take(new Request(id, spec, null, null, 3_600_000_000L, 0, false),
+            message, answers::add));
     }
 
     private static void awaitNoBytes(Socket connection) throws IOException {
@@ -147,8 +153,16 @@
     }
 
     private int used() {
+        return asked(pool::used);
+    }
+
+    private int size() {
+        return asked(pool::size);
+    }
+
+    private int asked(Callable<Integer> what) {
         try {
-            return loop.submit(pool::used).get();
+            return loop.submit(what).get();
         } catch (InterruptedException | ExecutionException e) {
             throw new IllegalStateException(e);
         }
@@ -343,31 +357,49 @@
         }
     }
 
-    /**
-     * The backend's end lies there unread as its connection is taken: it may have run, and is not
-     * repeated.
-     */
+    /** Parts whose one backend has answered once, and keeps the connection. */
+    private void keptOne() {
+        parts(0, (event, arguments) -> {
+            if ("onRequest".equals(event)) {
+                table.send(((Request) arguments[1]).id(), 1, 0);
+            } else if ("onOutcome".equals(event) && arguments[4] != Outcome.OK) {
+                table.fail((String) arguments[1]);
+            }
+        });
+        learn(1, backend.port(), true);
+        take("r1", "put");
+        Fakes.await("its answer", () -> outcomes.size() == 1);
+    }
+
+    private void closeKept() throws IOException {
+        assertEquals(1, backend.open.size());
+        backend.open.get(0).close();
+    }
+
+    /** The backend's end lies there unread as its connection is taken: it may have run, and failed. */
     @Test
-    void aConnectionThatEndsAsItIsTakenMayHaveRunWhatIsWrittenToIt() throws Exception {
-        start();
-        try (ClientFake client = new ClientFake(proxy)) {
-            assertEquals(200, client.send(ClientFake.post("put", "4.0")).status());
-            Fakes.await("it may be used again", () -> {
-                try {
-                    return client.send(ClientFake.post("save", "4.0")).status() == 200;
-                } catch (IOException e) {
-                    throw new IllegalStateException(e);
-                }
-            });
-            Fakes.whileHeld(proxy.loop(), () -> { }, () -> {
-                client.send(ClientFake.post("put", "4.0"));
-                for (Socket open : backend.open) {
-                    open.close();
-                }
-            });
-            int status = client.status();
-            assertTrue(status == 502 || status == 200, "failed, or sent on one of its own: " + status);
-            assertTrue(backend.requests.stream().filter(put -> put.startsWith("POST /put")).count() <= 2);
-        }
+    void aConnectionWhoseEndLiesUnreadMayHaveRunWhatIsWrittenToIt() throws Exception {
+        keptOne();
+        Fakes.whileHeld(loop, () -> { }, () -> {
+            closeKept();
+            takeInItsTurn("r2", "put"); // in the held turn still, before a socket is looked at
+        });
+        Fakes.await("its answer", () -> answers.size() == 2);
+        assertEquals(List.of(Outcome.OK, Outcome.RESET), outcomes);
+        assertEquals(502, answers.get(1).status().code());
+        assertEquals(1, backend.requests.size());
+    }
+
+    /** It was read by then: what is sent goes out on a connection of its own, and runs once. */
+    @Test
+    void aConnectionWhoseEndWasReadIsNotTaken() throws Exception {
+        keptOne();
+        closeKept();
+        Fakes.await("its end is read", () -> size() == 0);
+        take("r2", "put");
+        Fakes.await("its answer", () -> answers.size() == 2);
+        assertEquals(List.of(Outcome.OK, Outcome.OK), outcomes);
+        assertEquals(200, answers.get(1).status().code());
+        assertEquals(2, backend.requests.size());
     }
 }
