Count changes that change nothing among those that wait to be applied

Cause: read again: the bound on what waits counted entries, so changes without any (a version alone) could wait without end while a long list is applied. Change: each counts one beside its entries; the watch is read no more once 4,096 wait.

--- a/proxy/src/main/java/dockrelay/proxy/ListApplier.java
+++ b/proxy/src/main/java/dockrelay/proxy/ListApplier.java
@@ -35,7 +35,7 @@
     private final Deque<ListParser.Update> waiting = new ArrayDeque<>();
     private final List<ListParser.Update> current = new ArrayList<>(); // those that are being applied
     private Listing.Taking taking;
-    private int entriesWaiting;
+    private int weightWaiting;
     private boolean busy; // this turn has had its batch
 
     /** The executor runs a task in a later turn of the loop, after what has come meanwhile. */
@@ -47,13 +47,13 @@
 
     /** Whether so much waits that no more should be read for now. */
     boolean isFull() {
-        return entriesWaiting >= MOST_WAITING;
+        return weightWaiting >= MOST_WAITING;
     }
 
     /** Applies it at once, or begins to, or does so once what came before is applied. */
     void apply(ListParser.Update update) {
         waiting.add(update);
-        entriesWaiting += update.entries().size();
+        weightWaiting += weight(update);
         if (!busy) {
             busy = true;
             begin();
@@ -90,11 +90,16 @@
 
     private ListParser.Update take() {
         ListParser.Update update = waiting.poll();
-        entriesWaiting -= update.entries().size();
+        weightWaiting -= weight(update);
         current.add(update);
         return update;
     }
 
+    /** What changes nothing takes its place as well. */
+    private static int weight(ListParser.Update update) {
+        return 1 + update.entries().size();
+    }
+
     private void tell(ListScope scope, List<Member> members) {
         try {
             sink.tell(scope, members);
