--- a/proxy/src/main/java/dockrelay/proxy/ListApplier.java
+++ b/proxy/src/main/java/dockrelay/proxy/ListApplier.java
@@ -14,7 +14,7 @@
  * comes by itself is applied at once, and so is the first list of all, as nothing can be served before it.
  */
 final class ListApplier {
-    /** In a batch: some 2 ms of the loop where all have changed, a fifth of it where none has. */
+    /** In a batch: 2 to 4 ms of the loop at the most where all have changed (ListProbe, 86,000 backends). */
     static final int BATCH = 256;
     /** Changes that wait at the most, or little more, and are applied together: sorted they cost least. */
     static final int MOST_WAITING = 16 * BATCH;
