Log each call to discovery, and count calls, failures and the age of the list

Need: the log named only the last of several calls under way, so a replay could not show why proxies stayed without a list. Change: each call has a number; its version, age and end are in the log, as are calls given up and why; counters discovery_calls, discovery_failures, discovery_abandoned; gauges list-version and list-unconfirmed-ms. No decision changes.

--- a/proxy/src/main/java/dockrelay/proxy/Counters.java
+++ b/proxy/src/main/java/dockrelay/proxy/Counters.java
@@ -33,7 +33,9 @@
         /** Answers of backends that could not be read beyond doubt. */
         UNREADABLE,
         /** Attempts by their outcome, where that was not a good answer. */
-        ERROR, REJECTED, TIMEOUT, CONNECT_FAILURE, RESET, CANCELLED, NOT_SENT
+        ERROR, REJECTED, TIMEOUT, CONNECT_FAILURE, RESET, CANCELLED, NOT_SENT,
+        /** Calls to discovery, those that ended without a list, and those given up while they waited. */
+        DISCOVERY_CALLS, DISCOVERY_FAILURES, DISCOVERY_ABANDONED
     }
 
     /** A figure of this moment that goes with the line. */
--- a/proxy/src/main/java/dockrelay/proxy/Discovery.java
+++ b/proxy/src/main/java/dockrelay/proxy/Discovery.java
@@ -1,6 +1,7 @@
 package dockrelay.proxy;
 
 import dockrelay.Balancer.ListScope;
+import dockrelay.proxy.Counters.Count;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
@@ -31,6 +32,7 @@
     private final RequestTable table;
     private final Listing listing;
     private final ListApplier applier;
+    private final Counters counters;
     private volatile boolean anyReady;
     private long version = -1;
     private final Backoff backoff;
@@ -39,10 +41,17 @@
     private ListWatch watch; // the one that has spoken; null while there is none
     private ListWatch heard; // whose first object has come
     private long triedAt;
+    private long confirmedAt = System.nanoTime(); // when discovery last said what holds, or that nothing is new
+    private int calls;
     private int round, behind; // a timer of an earlier round means nothing
     private boolean following, closed;
 
-    Discovery(Bootstrap template, EventLoop loop, Config config, RequestTable table, Operators operators) {
+    Discovery(Bootstrap template, EventLoop loop, Config config, RequestTable table, Operators operators,
+              Counters counters) {
+        this.counters = counters;
+        counters.gauge("list-version", () -> version);
+        counters.gauge("list-unconfirmed-ms",
+            () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - confirmedAt));
         this.listing = new Listing(operators);
         // Not by execute: what is executed from within the loop may run before the next look at the sockets.
         this.applier = new ListApplier(listing, task -> loop.schedule(task, 0, TimeUnit.NANOSECONDS), this);
@@ -75,7 +84,7 @@
 
     void close() {
         closed = true;
-        dropAll();
+        dropAll("this process ends");
     }
 
     /** Whether any backend is known that may be sent to; any thread may ask. */
@@ -115,8 +124,14 @@
         }
     }
 
-    private void dropAll() {
-        trying.forEach(ListWatch::close);
+    private void abandon(ListWatch call, String why) {
+        counters.add(Count.DISCOVERY_ABANDONED);
+        Log.line("discovery", call.describe() + ", is given up: " + why);
+        call.close();
+    }
+
+    private void dropAll(String why) {
+        trying.forEach(call -> abandon(call, why));
         trying.clear();
         if (watch != null) {
             watch.close();
@@ -128,7 +143,7 @@
     private void renew() {
         if (!closed) {
             following = true;
-            dropAll();
+            dropAll("asked anew");
             attempt();
         }
     }
@@ -136,9 +151,10 @@
     private void attempt() {
         triedAt = System.nanoTime();
         if (trying.size() >= MOST_BESIDE) {
-            trying.remove(0).close();
+            abandon(trying.remove(0), "too many at once");
         }
-        trying.add(new ListWatch(bootstrap, address, version, this));
+        counters.add(Count.DISCOVERY_CALLS);
+        trying.add(new ListWatch(bootstrap, address, version, ++calls, this));
         attemptIn(ListClock.BESIDE);
     }
 
@@ -157,11 +173,18 @@
     @Override
     public void over(ListWatch ended, String why, boolean silent) {
         boolean tried = trying.remove(ended);
-        if (closed || !tried && ended != watch || tried && !trying.isEmpty()) {
+        if (closed || !tried && ended != watch) {
             return;
         }
-        Log.line("discovery", "the watch ended: " + why);
         boolean wasWatch = ended == watch;
+        if (tried) {
+            counters.add(Count.DISCOVERY_FAILURES);
+        }
+        Log.line("discovery", ended.describe() + (wasWatch ? ", the watch ended: " : ", failed: ") + why
+            + "; others under way: " + trying.size());
+        if (tried && !trying.isEmpty()) {
+            return;
+        }
         watch = wasWatch ? null : watch;
         if (wasWatch && silent) {
             attempt(); // late enough as it is
@@ -188,11 +211,13 @@
 
     /** The first that speaks is the watch, and those beside it are not needed any more. */
     private boolean takes(ListWatch by) {
+        confirmedAt = System.nanoTime();
         if (by == watch) {
             return false;
         }
+        Log.line("discovery", by.describe() + ", is answered");
         trying.remove(by);
-        trying.forEach(ListWatch::close);
+        trying.forEach(call -> abandon(call, "another one was answered"));
         trying.clear();
         watch = by;
         round++;
--- a/proxy/src/main/java/dockrelay/proxy/ListWatch.java
+++ b/proxy/src/main/java/dockrelay/proxy/ListWatch.java
@@ -49,12 +49,17 @@
 
     private final Hearer hearer;
     private final Channel channel;
+    private final int number;
+    private final long version, calledAt = System.nanoTime();
     private long withinSince, movedAt = Long.MIN_VALUE / 2;
     private String why = "connection closed";
     private boolean silent, over, within; // an object of which more is to come
 
-    ListWatch(Bootstrap template, InetSocketAddress address, long version, Hearer hearer) {
+    /** Calls discovery for what is newer than this version; the number tells the calls of a process apart. */
+    ListWatch(Bootstrap template, InetSocketAddress address, long version, int number, Hearer hearer) {
         this.hearer = hearer;
+        this.number = number;
+        this.version = version;
         ChannelFuture connecting = template.clone()
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, ListClock.CONNECT)
             // Requests have their turn between two parts of a long list.
@@ -82,6 +87,12 @@
         });
     }
 
+    /** Which call this is and how old, for the log. */
+    String describe() {
+        long age = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - calledAt);
+        return "call " + number + (version < 0 ? "" : " after version " + version) + ", " + age + " ms old";
+    }
+
     /** Whether a part of an object that is not whole has come a moment ago. */
     boolean moves() {
         return within && System.nanoTime() - movedAt < LATENESS_NANOS;
--- a/proxy/src/main/java/dockrelay/proxy/Proxy.java
+++ b/proxy/src/main/java/dockrelay/proxy/Proxy.java
@@ -112,7 +112,7 @@
             config.connectionIdle(), counters, bound);
         table = new RequestTable(loop, pool, clock, config, counters);
         operators = new Operators(platform.console() == null ? null : platform.folder());
-        discovery = new Discovery(sockets, loop, config, table, operators);
+        discovery = new Discovery(sockets, loop, config, table, operators, counters);
         Consumer<String> tell = message -> { };
         if (config.membership()) {
             members = new Members(config, platform.folder(), table, this::told);
