--- /dev/null
+++ b/proxy/src/test/java/dockrelay/proxy/CrowdedDiscovery.java
@@ -0,0 +1,109 @@
+package dockrelay.proxy;
+
+import dockrelay.proxy.Fakes.DiscoveryFake;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Discovery with one queue for all its callers, which other callers keep full. A call that finds no room is
+ * refused at once, one that is let in is answered after the whole wait. Every second call of a caller finds
+ * room. It refuses a caller and not a call: with a refusal all calls of that caller that wait are over.
+ */
+final class CrowdedDiscovery implements AutoCloseable {
+    /** How long a call waits that has found room while it is crowded. */
+    static final long QUEUE_MILLIS = 2_000;
+    private final List<Door> doors = new ArrayList<>();
+    private volatile String list;
+    private volatile boolean crowded;
+
+    CrowdedDiscovery(String list) {
+        this.list = list;
+    }
+
+    /** The whole list as it is from now on. */
+    void publish(String whole) {
+        list = whole;
+    }
+
+    void crowd() {
+        crowded = true;
+    }
+
+    /** The address of one caller. */
+    Door door() {
+        Door door = new Door();
+        doors.add(door);
+        return door;
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Door door : doors) {
+            door.close();
+        }
+    }
+
+    /** One caller's address; the calls that wait for an answer there. */
+    final class Door extends Fakes.Listener {
+        private final List<Socket> waiting = new ArrayList<>();
+        private int callsInCrowd, answered;
+
+        @Override
+        void serve(Socket connection) throws IOException {
+            if (Fakes.read(connection.getInputStream()) == null || !admitted(connection)) {
+                return;
+            }
+            connection.getOutputStream().write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + DiscoveryFake.chunk(list)).getBytes(StandardCharsets.UTF_8));
+            while (connection.getInputStream().read() >= 0) {
+                continue; // until the watch ends
+            }
+        }
+
+        synchronized int answered() {
+            return answered;
+        }
+
+        private synchronized boolean admitted(Socket connection) throws IOException {
+            if (!crowded) {
+                return true;
+            }
+            if (callsInCrowd++ % 2 == 0) {
+                refuse(connection);
+                return false;
+            }
+            waiting.add(connection);
+            long answerAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(QUEUE_MILLIS);
+            for (long left = QUEUE_MILLIS; left > 0 && waiting.contains(connection);
+                left = TimeUnit.NANOSECONDS.toMillis(answerAt - System.nanoTime())) {
+                await(left);
+            }
+            boolean served = waiting.remove(connection);
+            answered += served ? 1 : 0;
+            return served;
+        }
+
+        private void await(long millis) {
+            try {
+                wait(millis);
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
+        private void refuse(Socket connection) throws IOException {
+            waiting.add(connection);
+            for (Socket each : waiting) {
+                each.getOutputStream().write(
+                    Fakes.answer("503 Crowded", "", "").getBytes(StandardCharsets.UTF_8));
+                each.close();
+            }
+            waiting.clear();
+            notifyAll();
+        }
+    }
+}
--- a/proxy/src/test/java/dockrelay/proxy/Fakes.java
+++ b/proxy/src/test/java/dockrelay/proxy/Fakes.java
@@ -327,7 +327,7 @@
             }
         }
 
-        private static String chunk(String line) {
+        static String chunk(String line) {
             return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
         }
 
--- /dev/null
+++ b/proxy/src/test/java/dockrelay/proxy/ProxyProcess.java
@@ -0,0 +1,69 @@
+package dockrelay.proxy;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** The proxy as a process of its own on a port of its own, started and killed as often as a test wants. */
+final class ProxyProcess implements AutoCloseable {
+    private final Path folder;
+    private final int port;
+    private Process process;
+
+    /** The folder is the process's own: its configuration and its log are kept there. */
+    ProxyProcess(Path folder) throws IOException {
+        this.folder = Files.createDirectories(folder);
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = any.getLocalPort();
+        }
+    }
+
+    /** Starts with this list and these further settings, as {@link Fakes#text} lays them out. */
+    void start(int discoveryPort, String known, String settings) throws IOException {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, Fakes.text(port, discoveryPort, 1024, known, settings));
+        ProcessBuilder builder = new ProcessBuilder(
+            ProcessHandle.current().info().command().orElseThrow(), "-Xmx64m", "-XX:TieredStopAtLevel=1",
+            "-cp", System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+            Main.class.getName(), "serve");
+        builder.environment().put("PROXY_CONFIG", file.toString());
+        builder.environment().remove("TMPDIR");
+        builder.redirectErrorStream(true);
+        builder.redirectOutput(ProcessBuilder.Redirect.appendTo(new File(folder.toFile(), "log")));
+        process = builder.start();
+    }
+
+    void awaitServing() {
+        Fakes.await("it serves", () -> {
+            try (Fakes.ClientFake client = client()) {
+                return client.send(Fakes.ClientFake.get("4.0")).status() == 200;
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
+    Fakes.ClientFake client() throws IOException {
+        return new Fakes.ClientFake(new Socket(InetAddress.getLoopbackAddress(), port));
+    }
+
+    String log() throws IOException {
+        return Files.readString(folder.resolve("log"));
+    }
+
+    /** Kills it with SIGKILL and waits until it is gone. */
+    void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+    }
+
+    @Override
+    public void close() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+}
