Let the stand-in of a crowded discovery send heartbeats on its watches

Change: an empty line every 0.5 s; no assertion changes. Measured: the test still fails on the program as it was.

--- a/proxy/src/test/java/dockrelay/proxy/CrowdedDiscovery.java
+++ b/proxy/src/test/java/dockrelay/proxy/CrowdedDiscovery.java
@@ -16,6 +16,7 @@
 final class CrowdedDiscovery implements AutoCloseable {
     /** How long a call waits that has found room while it is crowded. */
     static final long QUEUE_MILLIS = 2_000;
+    private static final long HEARTBEAT_MILLIS = 500;
     private final List<Door> doors = new ArrayList<>();
     private volatile String list;
     private volatile boolean crowded;
@@ -59,8 +60,9 @@
             }
             connection.getOutputStream().write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                 + DiscoveryFake.chunk(list)).getBytes(StandardCharsets.UTF_8));
-            while (connection.getInputStream().read() >= 0) {
-                continue; // until the watch ends
+            while (!connection.isClosed()) { // until the proxy ends the watch: the write fails then
+                pause();
+                connection.getOutputStream().write(DiscoveryFake.chunk("").getBytes(StandardCharsets.UTF_8));
             }
         }
 
@@ -87,6 +89,14 @@
             return served;
         }
 
+        private void pause() {
+            try {
+                Thread.sleep(HEARTBEAT_MILLIS);
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
         private void await(long millis) {
             try {
                 wait(millis);
