--- a/proxy/src/test/java/dockrelay/proxy/CrowdedDiscoveryTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/CrowdedDiscoveryTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dockrelay.proxy.Fakes.BackendFake;
-import dockrelay.proxy.Fakes.ClientFake;
 import dockrelay.proxy.Fakes.DiscoveryFake;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -12,7 +11,6 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -63,25 +61,6 @@
         proxies.forEach(ProxyProcess::awaitServing);
     }
 
-    /** Sends one request after another until this time; returns how many were served after the other time. */
-    private static Thread client(ProxyProcess proxy, long countedFrom, long until, AtomicLong served) {
-        Thread thread = new Thread(() -> {
-            try (ClientFake client = proxy.client()) {
-                while (System.nanoTime() < until) {
-                    int status = client.send(ClientFake.get("4.0")).status();
-                    if (status == 200 && System.nanoTime() > countedFrom) {
-                        served.incrementAndGet();
-                    }
-                    Thread.sleep(10);
-                }
-            } catch (IOException | InterruptedException e) {
-                throw new IllegalStateException(e);
-            }
-        });
-        thread.start();
-        return thread;
-    }
-
     @Test
     void proxiesKilledTogetherHaveTheListInTimeWhileDiscoveryIsCrowded() throws Exception {
         for (int i = 0; i < PROXIES; i++) {
@@ -97,20 +76,16 @@
         startAll();
         long changedAt = System.nanoTime();
         long stopped = changedAt + TimeUnit.MILLISECONDS.toNanos(STOPPED_MILLIS);
-        List<Thread> clients = new ArrayList<>();
-        List<AtomicLong> served = new ArrayList<>();
+        List<RequestLoop> clients = new ArrayList<>();
         for (ProxyProcess proxy : proxies) {
-            served.add(new AtomicLong());
-            clients.add(client(proxy, stopped, stopped + TimeUnit.SECONDS.toNanos(1),
-                served.get(served.size() - 1)));
+            clients.add(new RequestLoop(proxy, stopped, stopped + TimeUnit.SECONDS.toNanos(1)));
         }
-        for (Thread client : clients) {
-            client.join();
+        for (RequestLoop client : clients) {
+            assertTrue(client.served() > 0, "each proxy still serves");
         }
         assertEquals(0, arrivedAtRemoved.stream().filter(at -> at > stopped).count(),
             "requests at the removed backend after the grace");
         for (int i = 0; i < PROXIES; i++) {
-            assertTrue(served.get(i).get() > 0, "n" + i + " still serves");
             assertEquals(1, doors.get(i).answered(), "calls of n" + i + " that were answered\n"
                 + proxies.get(i).log());
         }
--- /dev/null
+++ b/proxy/src/test/java/dockrelay/proxy/RequestLoop.java
@@ -0,0 +1,35 @@
+package dockrelay.proxy;
+
+import dockrelay.proxy.Fakes.ClientFake;
+import java.io.IOException;
+import java.util.concurrent.FutureTask;
+
+/** A client that sends one request after another to a proxy until a moment of the nano clock. */
+final class RequestLoop {
+    private static final long PAUSE_MILLIS = 10;
+    private final FutureTask<Integer> task;
+
+    /** Starts at once on a thread of its own; counts what is served from one moment to the other. */
+    RequestLoop(ProxyProcess proxy, long countedFrom, long until) {
+        task = new FutureTask<>(() -> run(proxy, countedFrom, until));
+        new Thread(task).start();
+    }
+
+    private static int run(ProxyProcess proxy, long countedFrom, long until)
+        throws IOException, InterruptedException {
+        int served = 0;
+        try (ClientFake client = proxy.client()) {
+            while (System.nanoTime() < until) {
+                int status = client.send(ClientFake.get("4.0")).status();
+                served += status == 200 && System.nanoTime() > countedFrom ? 1 : 0;
+                Thread.sleep(PAUSE_MILLIS);
+            }
+        }
+        return served;
+    }
+
+    /** How many requests were served in that time, once it is over. */
+    int served() throws Exception {
+        return task.get();
+    }
+}
