Pace the calls of a whole fleet to discovery, and let a call wait for its turn

Cause: metastable overload. Each proxy without a list called about once a second (Discovery.attempt, 1.5 s beside an unanswered call; ListClock.after, at once after a late failure), at any size of fleet. A hundred offered some 80 calls a second to a discovery of 19 (answers 53 ms apart); calls waited 2 s, failed, and were served all the same. Change: CallPacing gives each proxy one call in an interval that grows with the fleet (250 ms a proxy, 5 s at the most), spread by chance from the first call on; fleets of up to 8 back off as before. A call that waits is not followed by a second one before 2.5 s; the connection for that comes up meanwhile, so the sums of ListClock stay. CrowdedDiscoveryTest was red once in five runs, a client's broken pipe: being traced.

--- /dev/null
+++ b/proxy/src/main/java/dockrelay/proxy/CallPacing.java
@@ -0,0 +1,80 @@
+package dockrelay.proxy;
+
+import java.util.SplittableRandom;
+
+/**
+ * Decides when a proxy calls a discovery that it shares with its whole fleet. Discovery serves one call after
+ * another, and also those whose caller has given up by then. Where a fleet calls more often than that, each
+ * call waits until it has failed, its caller calls again, and none is answered any more, for as long as they
+ * all go on so (congestion collapse). So each proxy of a fleet calls once in an interval that grows with the
+ * fleet, from its first call on, at a moment of its own. In a small fleet, where the interval would be no
+ * longer than a backoff's longest wait, each backs off exponentially. Times are in milliseconds.
+ */
+final class CallPacing {
+    /** Of the interval, for each proxy of the fleet: four calls a second of all, up to the longest interval. */
+    static final long INTERVAL_PER_PROXY = 250;
+    /** What is published counts as known after {@link ListClock#TOLD}: a call and its wait have to fit in. */
+    static final long MAX_INTERVAL = ListClock.TOLD - 1_000;
+    /** Parts of an interval over which calls spread that are due sooner than others. */
+    private static final double START_PART = 0.8, SILENT_PART = 0.7, MOVED_PART = 0.75;
+    /** Repeats come after this part of an interval at the least, and as much later than one at the most. */
+    private static final double MIN_REPEAT_PART = 0.75;
+
+    private final SplittableRandom random;
+    private final Backoff backoff;
+    private final long interval;
+    private final boolean shared; // a fleet so large that its calls are spread over an interval
+
+    /** For a fleet of so many; no wait is longer than the time within which the settings want a call. */
+    CallPacing(int proxies, long askWithin, long seed) {
+        long longest = askWithin <= 0 ? MAX_INTERVAL : Math.min(askWithin, MAX_INTERVAL);
+        interval = Math.min(longest, proxies * INTERVAL_PER_PROXY);
+        shared = interval > ListClock.MOST_APART;
+        long longestBackoff = Math.min(longest, ListClock.MOST_APART);
+        backoff = new Backoff(Math.min(longestBackoff, ListClock.FIRST_APART), longestBackoff, seed);
+        random = new SplittableRandom(seed);
+    }
+
+    /** By when the first call of a process that starts has to be made; the module makes it sooner by chance. */
+    long firstCallBy() {
+        return Math.max(ListClock.MOST_APART, (long) (interval * START_PART));
+    }
+
+    /** The first call of a process that takes over from one that still runs: what holds is due at once. */
+    long firstCallOfSuccessor() {
+        return spread(ListClock.MOST_APART);
+    }
+
+    /** After a watch has ended: those of all proxies may have ended with it. */
+    long afterEnd() {
+        return shared ? spread(interval) : backoff.next();
+    }
+
+    /** After a watch has fallen silent: some of the time in which what it misses counts as known is over. */
+    long afterSilence() {
+        return shared ? spread((long) (interval * SILENT_PART)) : 0;
+    }
+
+    /** After discovery has moved, of which all proxies are notified at once. */
+    long afterMove() {
+        return shared ? spread((long) (interval * MOVED_PART)) : 0;
+    }
+
+    /** After a call has failed that began so long ago: the wait is counted from its begin. */
+    long afterFailure(long sinceStart) {
+        if (!shared) {
+            return ListClock.after(sinceStart, backoff.next());
+        }
+        long least = (long) (interval * MIN_REPEAT_PART);
+        return Math.max(0, least + spread(2 * (interval - least)) - sinceStart);
+    }
+
+    /** A call was answered. */
+    void reset() {
+        backoff.reset();
+    }
+
+    private long spread(long over) {
+        return random.nextLong(over + 1);
+    }
+}
--- a/proxy/src/main/java/dockrelay/proxy/Discovery.java
+++ b/proxy/src/main/java/dockrelay/proxy/Discovery.java
@@ -35,10 +35,12 @@
     private final Counters counters;
     private volatile boolean anyReady;
     private long version = -1;
-    private final Backoff backoff;
+    private final CallPacing pacing; // where discovery is asked
+    private final Backoff pushedBackoff; // where lists are pushed, by an agent of this host's own
     private final CountDownLatch listed = new CountDownLatch(1);
     private final List<ListWatch> trying = new ArrayList<>();
     private ListWatch watch; // the one that has spoken; null while there is none
+    private ListWatch standby; // connected for the next call; null while there is none
     private ListWatch heard; // whose first object has come
     private long triedAt;
     private long confirmedAt = System.nanoTime(); // when discovery last said what holds, or that nothing is new
@@ -57,23 +59,26 @@
         this.applier = new ListApplier(listing, task -> loop.schedule(task, 0, TimeUnit.NANOSECONDS), this);
         this.asked = config.settings().askedDiscovery();
         long within = TimeUnit.MICROSECONDS.toMillis(config.settings().rules().askWithin());
-        long most = within <= 0 ? ListClock.MOST_APART : Math.min(within, ListClock.MOST_APART);
-        this.backoff = asked ? new Backoff(Math.min(most, ListClock.FIRST_APART), most, config.seed())
-            : new Backoff(FIRST_BACKOFF_MILLIS, MOST_BACKOFF_MILLIS, config.seed());
+        this.pacing = new CallPacing(asked ? config.settings().proxies() : 1, within, config.seed());
+        this.pushedBackoff = new Backoff(FIRST_BACKOFF_MILLIS, MOST_BACKOFF_MILLIS, config.seed());
         this.loop = loop;
         this.address = config.discovery();
         this.table = table;
         this.bootstrap = template;
     }
 
-    /** Hands on the list that the proxy last had, as the first the module hears, and starts to watch. */
-    void start(KnownList cached) {
+    /**
+     * Hands on the list that the proxy last had, as the first the module hears, and starts to watch. A
+     * successor takes over from a process of this proxy that still runs.
+     */
+    void start(KnownList cached, boolean successor) {
         version = cached.version();
         tell(ListScope.CACHED, listing.take(cached.take(), true));
-        if (asked) { // the module asks sooner than that, unless its settings let it wait longer
-            loop.schedule(this::subscribe, ListClock.MOST_APART, TimeUnit.MILLISECONDS);
-        } else {
+        if (!asked) {
             subscribe();
+        } else { // the module asks sooner than that, unless its settings let it wait longer
+            long wait = successor ? pacing.firstCallOfSuccessor() : pacing.firstCallBy();
+            loop.schedule(this::subscribe, wait, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -119,8 +124,10 @@
             Log.line("discovery", "moves from " + address + " to " + to);
             address = to;
             version = -1;
-            backoff.reset();
-            renew();
+            resetWaits();
+            following = true;
+            dropAll("discovery has moved");
+            attemptIn(asked ? pacing.afterMove() : 0);
         }
     }
 
@@ -133,6 +140,7 @@
     private void dropAll(String why) {
         trying.forEach(call -> abandon(call, why));
         trying.clear();
+        dropStandby();
         if (watch != null) {
             watch.close();
             watch = null;
@@ -153,9 +161,35 @@
         if (trying.size() >= MOST_BESIDE) {
             abandon(trying.remove(0), "too many at once");
         }
+        ListWatch call = standby == null ? new ListWatch(bootstrap, address, this) : standby;
+        standby = null;
+        trying.add(call);
         counters.add(Count.DISCOVERY_CALLS);
-        trying.add(new ListWatch(bootstrap, address, version, ++calls, this));
-        attemptIn(ListClock.BESIDE);
+        call.call(version, ++calls);
+        attemptIn(ListClock.ANSWER);
+        connectIn(ListClock.BESIDE);
+    }
+
+    /** Connects for the call after this one, which is made at once then if this one is not answered. */
+    private void connectIn(long millis) {
+        int mine = round;
+        loop.schedule(() -> {
+            if (mine == round && !closed && standby == null) {
+                standby = new ListWatch(bootstrap, address, this);
+            }
+        }, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void resetWaits() {
+        pushedBackoff.reset();
+        pacing.reset();
+    }
+
+    private void dropStandby() {
+        if (standby != null) {
+            standby.close();
+            standby = null;
+        }
     }
 
     /** The next try, unless one speaks before, or is about to: a long list takes its time. */
@@ -172,6 +206,10 @@
 
     @Override
     public void over(ListWatch ended, String why, boolean silent) {
+        if (ended == standby) {
+            standby = null; // the next call connects anew
+            return;
+        }
         boolean tried = trying.remove(ended);
         if (closed || !tried && ended != watch) {
             return;
@@ -186,17 +224,22 @@
             return;
         }
         watch = wasWatch ? null : watch;
-        if (wasWatch && silent) {
-            attempt(); // late enough as it is
-        } else {
-            long since = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - triedAt);
-            attemptIn(wasWatch ? backoff.next() : ListClock.after(since, backoff.next()));
-        }
+        attemptIn(waitAfter(wasWatch, silent));
         if (asked) {
             table.members(ListScope.FAILED, List.of());
         }
     }
 
+    private long waitAfter(boolean wasWatch, boolean silent) {
+        long since = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - triedAt);
+        if (wasWatch && silent) {
+            return asked ? pacing.afterSilence() : 0; // late enough as it is
+        } else if (wasWatch) {
+            return asked ? pacing.afterEnd() : pushedBackoff.next();
+        }
+        return asked ? pacing.afterFailure(since) : ListClock.after(since, pushedBackoff.next());
+    }
+
     /** One that lags behind catches up; else another one is asked, and in the end the whole list. */
     private void lookAgain() {
         int mine = round;
@@ -219,6 +262,7 @@
         trying.remove(by);
         trying.forEach(call -> abandon(call, "another one was answered"));
         trying.clear();
+        dropStandby();
         watch = by;
         round++;
         return true;
@@ -250,7 +294,7 @@
             return;
         }
         behind = 0;
-        backoff.reset();
+        resetWaits();
         version = told; // whoever is asked next need not say it again
         applier.apply(update);
         if (applier.isFull()) {
--- a/proxy/src/main/java/dockrelay/proxy/ListClock.java
+++ b/proxy/src/main/java/dockrelay/proxy/ListClock.java
@@ -23,8 +23,14 @@
     static final int LATE_CONNECTION = 1_000;
     /** One that has not come up by then never will. */
     static final int CONNECT = LATE_CONNECTION + 200;
-    /** A try that has said nothing by then gets another one beside it; the first that speaks is the watch. */
+    /** A call that has no answer by then gets another connection beside it, and no more than that. */
     static final int BESIDE = 1_500;
+    /**
+     * One that has no answer by then is taken for dead, and the next call is made on the connection beside
+     * it, which had time to come up. Not sooner: discovery that has many callers lets a call wait for its
+     * turn, and refuses the caller, with all calls that it has waiting, when it calls again meanwhile.
+     */
+    static final int ANSWER = BESIDE + LATE_CONNECTION;
     /**
      * Tries begin no further apart than this while none has spoken, however many failed, were refused or
      * given up: it is counted from the start of one to the start of the next.
--- a/proxy/src/main/java/dockrelay/proxy/ListWatch.java
+++ b/proxy/src/main/java/dockrelay/proxy/ListWatch.java
@@ -26,7 +26,11 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
-/** One watch on the list: a connection, what is asked on it, and its answer taken apart into objects. */
+/**
+ * One watch on the list: a connection, the call made on it, and its answer taken apart into objects. The
+ * connection comes up at once, the call is made when it is asked for. Nothing here ends a call that waits for
+ * its answer: discovery may be busy with other callers. Once it has spoken it must not fall silent.
+ */
 final class ListWatch {
     private static final int LONGEST_READ = 16 << 10;
     private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(ListClock.SILENT);
@@ -49,17 +53,17 @@
 
     private final Hearer hearer;
     private final Channel channel;
-    private final int number;
-    private final long version, calledAt = System.nanoTime();
+    private final String host;
+    private int number; // 0 until the call is made
+    private long version, calledAt;
     private long withinSince, movedAt = Long.MIN_VALUE / 2;
     private String why = "connection closed";
     private boolean silent, over, within; // an object of which more is to come
 
-    /** Calls discovery for what is newer than this version; the number tells the calls of a process apart. */
-    ListWatch(Bootstrap template, InetSocketAddress address, long version, int number, Hearer hearer) {
+    /** Connects, and no more. */
+    ListWatch(Bootstrap template, InetSocketAddress address, Hearer hearer) {
         this.hearer = hearer;
-        this.number = number;
-        this.version = version;
+        this.host = address.getHostString() + ":" + address.getPort();
         ChannelFuture connecting = template.clone()
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, ListClock.CONNECT)
             // Requests have their turn between two parts of a long list.
@@ -68,27 +72,41 @@
             .handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel made) {
-                    made.pipeline().addLast(
-                        new ReadTimeoutHandler(ListClock.SILENT, TimeUnit.MILLISECONDS),
-                        new HttpClientCodec(), new Answer(), new Objects());
+                    made.pipeline().addLast(new HttpClientCodec(), new Answer(), new Objects());
                 }
             }).connect(address);
         channel = connecting.channel();
         connecting.addListener(done -> {
-            if (done.isSuccess()) {
-                String path = "/v1/servers?watch=1" + (version < 0 ? "" : "&after=" + version);
-                HttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
-                String host = address.getHostString() + ":" + address.getPort();
-                request.headers().set(HttpHeaderNames.HOST, host);
-                channel.writeAndFlush(request);
-            } else {
+            if (!done.isSuccess()) {
                 over(String.valueOf(done.cause().getMessage()));
+            } else if (number > 0) {
+                writeCall();
             }
         });
     }
 
+    /** Asks for what is newer than this version, as soon as the connection is up; numbered from 1 on. */
+    void call(long after, int callNumber) {
+        version = after;
+        number = callNumber;
+        calledAt = System.nanoTime();
+        if (channel.isActive()) {
+            writeCall();
+        }
+    }
+
+    private void writeCall() {
+        String path = "/v1/servers?watch=1" + (version < 0 ? "" : "&after=" + version);
+        HttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+        request.headers().set(HttpHeaderNames.HOST, host);
+        channel.writeAndFlush(request);
+    }
+
     /** Which call this is and how old, for the log. */
     String describe() {
+        if (number == 0) {
+            return "a connection without a call";
+        }
         long age = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - calledAt);
         return "call " + number + (version < 0 ? "" : " after version " + version) + ", " + age + " ms old";
     }
@@ -125,6 +143,9 @@
                 context.close();
                 return;
             }
+            if (part instanceof HttpResponse) {
+                context.pipeline().addFirst(new ReadTimeoutHandler(ListClock.SILENT, TimeUnit.MILLISECONDS));
+            }
             if (part instanceof HttpContent content && !over) {
                 boolean some = content.content().isReadable(), blank = isBlank(content.content());
                 if (some && !blank && !within) {
--- a/proxy/src/main/java/dockrelay/proxy/Proxy.java
+++ b/proxy/src/main/java/dockrelay/proxy/Proxy.java
@@ -126,7 +126,7 @@
         }
         clients = new ClientSide(table, config.settings().classes(), fromClients, this::ready,
             counters, bound);
-        loop.execute(() -> discovery.start(config.known()));
+        loop.execute(() -> discovery.start(config.known(), platform.listener() != null));
         console = platform.console() == null ? null
             : new Console(platform.console(), operators, () -> accepting && ready(), this::enforce,
                 members, config.budgets().isEmpty() || members == null ? null : members::describeBudgets);
--- /dev/null
+++ b/proxy/src/test/java/dockrelay/proxy/CallPacingTest.java
@@ -0,0 +1,208 @@
+package dockrelay.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockrelay.Balancer;
+import dockrelay.Balancer.ListScope;
+import dockrelay.RiqBalancer;
+import java.lang.reflect.Proxy;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * The calls of a whole fleet on a virtual clock, to a discovery that serves one call after another, also those
+ * that have failed by then for having waited too long. Times are in milliseconds.
+ */
+class CallPacingTest {
+    private static final long ASK_WITHIN = 10_000, MAX_WAIT = 2_000, GRACE = 1_500;
+    private static final long END = 40_000;
+    private static final int SEEDS = 50;
+
+    /** What makes all proxies, or most of them, call at about the same time. */
+    private enum Trigger {
+        /** Discovery is down for 8 s, and comes back with changes. */
+        OUTAGE(ListClock.TOLD + GRACE),
+        /** All start within half a second. */
+        START(ListClock.TOLD + GRACE),
+        /** All watches fall silent within a heartbeat; counted from the silence. */
+        SILENCE(ListClock.TOLD + GRACE),
+        /** Discovery moves, and all are notified at once. */
+        MOVE(ListClock.TOLD_MOVED + GRACE);
+
+        final long limit;
+
+        Trigger(long limit) {
+            this.limit = limit;
+        }
+    }
+
+    private record Event(long at, long order, Runnable action) {
+    }
+
+    /** One proxy's calls, as {@link Discovery} makes them. */
+    private final class Caller {
+        final CallPacing pacing;
+        final List<boolean[]> open = new ArrayList<>(); // calls that wait; set once they have failed
+        long beganAt, answeredAt = -1;
+        int round;
+
+        Caller(int fleet, long seed) {
+            pacing = new CallPacing(fleet, ASK_WITHIN, seed);
+        }
+
+        void callIn(long wait) {
+            int mine = ++round;
+            after(wait, () -> {
+                if (mine == round && answeredAt < 0) {
+                    call();
+                }
+            });
+        }
+
+        private void call() {
+            beganAt = now;
+            boolean[] over = new boolean[1];
+            open.add(over);
+            after(MAX_WAIT, () -> fail(over));
+            callIn(ListClock.ANSWER);
+            if (now >= downUntil) {
+                queue.add(() -> answer(over));
+                serve();
+            }
+        }
+
+        private void fail(boolean[] call) {
+            if (!call[0] && answeredAt < 0) {
+                call[0] = true;
+                open.remove(call);
+                if (open.isEmpty()) {
+                    callIn(pacing.afterFailure(now - beganAt));
+                }
+            }
+        }
+
+        private void answer(boolean[] call) {
+            if (!call[0] && answeredAt < 0) {
+                answeredAt = now;
+            }
+        }
+    }
+
+    private final PriorityQueue<Event> events = new PriorityQueue<>(
+        Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+    private final Deque<Runnable> queue = new ArrayDeque<>();
+    private long now, order, downUntil, callTime;
+    private boolean serving;
+
+    private void after(long wait, Runnable action) {
+        events.add(new Event(now + wait, order++, action));
+    }
+
+    /** One call at a time, each for as long as any other. */
+    private void serve() {
+        if (!serving && !queue.isEmpty()) {
+            serving = true;
+            Runnable answer = queue.poll();
+            after(callTime, () -> {
+                serving = false;
+                answer.run();
+                serve();
+            });
+        }
+    }
+
+    /** The first wait that the module sets after its cached list: until it wants to be subscribed. */
+    private static long firstCall(int fleet, long seed) {
+        long[] delay = new long[1];
+        Balancer.Actions actions = (Balancer.Actions) Proxy.newProxyInstance(
+            CallPacingTest.class.getClassLoader(), new Class<?>[] {Balancer.Actions.class},
+            (proxy, method, arguments) -> {
+                if ("setTimer".equals(method.getName())) {
+                    delay[0] = (Long) arguments[0] / 1_000;
+                }
+                return null;
+            });
+        Config config = Fakes.config(0, 1, 1024, "", "\"Discovery\":\"ask\",\"Balancers\":" + fleet
+            + ",\"Obligations\":{\"AskWithin\":10.0},");
+        RiqBalancer module = new RiqBalancer(config.settings(), seed, actions);
+        module.onMembers(1_000_000, ListScope.CACHED, List.of());
+        return delay[0];
+    }
+
+    /** How long after the trigger, or after discovery's return, the last proxy has its list. */
+    private long lastAnswer(int fleet, Trigger trigger, long wholeFleet, long seed) {
+        events.clear();
+        queue.clear();
+        now = order = 0;
+        serving = false;
+        callTime = wholeFleet / fleet;
+        downUntil = trigger == Trigger.OUTAGE ? 8_000 : 0;
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Caller> callers = new ArrayList<>();
+        for (int i = 0; i < fleet; i++) {
+            Caller caller = new Caller(fleet, random.nextLong());
+            callers.add(caller);
+            caller.callIn(switch (trigger) {
+                case OUTAGE -> caller.pacing.afterEnd();
+                case START -> random.nextLong(500)
+                    + Math.min(firstCall(fleet, random.nextLong()), caller.pacing.firstCallBy());
+                case SILENCE -> ListClock.SILENT - random.nextLong(ListClock.HEARTBEAT)
+                    + caller.pacing.afterSilence();
+                case MOVE -> caller.pacing.afterMove();
+            });
+        }
+        while (!events.isEmpty() && events.peek().at < END) {
+            Event event = events.poll();
+            now = event.at;
+            event.action.run();
+        }
+        long last = 0;
+        for (Caller caller : callers) {
+            last = Math.max(last, caller.answeredAt < 0 ? END : caller.answeredAt);
+        }
+        return last - downUntil;
+    }
+
+    /** With discovery that could serve the whole fleet in this time, if each proxy called once. */
+    @ParameterizedTest
+    @CsvSource({"OUTAGE,24,4000", "OUTAGE,100,5000", "START,24,4000", "START,100,5000", "SILENCE,24,4000",
+        "SILENCE,100,5000", "MOVE,24,4000", "MOVE,100,5000"})
+    void allOfAFleetHaveTheListInTime(Trigger trigger, int fleet, long wholeFleet) {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            long last = lastAnswer(fleet, trigger, wholeFleet, seed);
+            assertTrue(last <= trigger.limit, "seed " + seed + ": the last list after " + last + " ms");
+        }
+    }
+
+    /** A handful of proxies does not wait for an interval. */
+    @Test
+    void aSmallFleetBacksOffExponentially() {
+        CallPacing pacing = new CallPacing(8, ASK_WITHIN, 3);
+        assertEquals(0, pacing.afterSilence());
+        assertEquals(0, pacing.afterMove());
+        for (int i = 0; i < 100; i++) {
+            long wait = pacing.afterFailure(0);
+            assertTrue(wait <= Math.min(ListClock.FIRST_APART << Math.min(i, 10), ListClock.MOST_APART),
+                i + ": " + wait);
+        }
+        assertEquals(0, pacing.afterFailure(ListClock.MOST_APART), "counted from the call's begin");
+    }
+
+    /** Settings that want a call sooner than that are kept. */
+    @Test
+    void noWaitIsMuchLongerThanTheSettingsAllow() {
+        CallPacing pacing = new CallPacing(100, 1_000, 3);
+        for (int i = 0; i < 100; i++) {
+            assertTrue(pacing.afterEnd() <= 1_000 && pacing.afterFailure(0) <= 1_000);
+        }
+    }
+}
--- a/proxy/src/test/java/dockrelay/proxy/RequestLoop.java
+++ b/proxy/src/test/java/dockrelay/proxy/RequestLoop.java
@@ -21,6 +21,9 @@
         try (ClientFake client = proxy.client()) {
             while (System.nanoTime() < until) {
                 int status = client.send(ClientFake.get("4.0")).status();
+                if (status == 0) {
+                    throw new IOException("closed without an answer, log:\n" + proxy.log());
+                }
                 served += status == 200 && System.nanoTime() > countedFrom ? 1 : 0;
                 Thread.sleep(PAUSE_MILLIS);
             }
