--- a/proxy/src/test/java/dockrelay/proxy/ProxyProcess.java
+++ b/proxy/src/test/java/dockrelay/proxy/ProxyProcess.java
@@ -7,17 +7,24 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicInteger;
 
-/** The proxy as a process of its own on a port of its own, started and killed as often as a test wants. */
+/** The proxy as a process of its own at an address of its own, started and killed as often as a test wants. */
 final class ProxyProcess implements AutoCloseable {
+    private static final AtomicInteger MADE = new AtomicInteger();
+    private static final int LOW_BYTE = 250;
+
     private final Path folder;
+    /** Its own, so that no other test can take the port while the process is down. */
+    private final String host = "127.7." + ProcessHandle.current().pid() % LOW_BYTE + "."
+        + (1 + MADE.getAndIncrement() % LOW_BYTE);
     private final int port;
     private Process process;
 
     /** The folder is the process's own: its configuration and its log are kept there. */
     ProxyProcess(Path folder) throws IOException {
         this.folder = Files.createDirectories(folder);
-        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getByName(host))) {
             port = any.getLocalPort();
         }
     }
@@ -25,7 +32,8 @@
     /** Starts with this list and these further settings, as {@link Fakes#text} lays them out. */
     void start(int discoveryPort, String known, String settings) throws IOException {
         Path file = folder.resolve("config.json");
-        Files.writeString(file, Fakes.text(port, discoveryPort, 1024, known, settings));
+        Files.writeString(file, Fakes.text(port, discoveryPort, 1024, known, settings)
+            .replace("\"listen\":\"127.0.0.1:", "\"listen\":\"" + host + ":"));
         ProcessBuilder builder = new ProcessBuilder(
             ProcessHandle.current().info().command().orElseThrow(), "-Xmx64m", "-XX:TieredStopAtLevel=1",
             "-cp", System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
@@ -48,7 +56,7 @@
     }
 
     Fakes.ClientFake client() throws IOException {
-        return new Fakes.ClientFake(new Socket(InetAddress.getLoopbackAddress(), port));
+        return new Fakes.ClientFake(new Socket(host, port));
     }
 
     String log() throws IOException {
