--- a/proxy/src/main/java/dockrelay/proxy/CallPacing.java
+++ b/proxy/src/main/java/dockrelay/proxy/CallPacing.java
@@ -11,7 +11,9 @@
  * longer than a backoff's longest wait, each backs off exponentially. Times are in milliseconds.
  */
 final class CallPacing {
-    /** Of the interval, for each proxy of the fleet: four calls a second of all, up to the longest interval. */
+    /**
+     * Of the interval, for each proxy of the fleet: four calls a second of all, up to the longest interval.
+     */
     static final long INTERVAL_PER_PROXY = 250;
     /** What is published counts as known after {@link ListClock#TOLD}: a call and its wait have to fit in. */
     static final long MAX_INTERVAL = ListClock.TOLD - 1_000;
@@ -35,7 +37,9 @@
         random = new SplittableRandom(seed);
     }
 
-    /** By when the first call of a process that starts has to be made; the module makes it sooner by chance. */
+    /**
+     * By when the first call of a process that starts has to be made; the module makes it sooner by chance.
+     */
     long firstCallBy() {
         return Math.max(ListClock.MOST_APART, (long) (interval * START_PART));
     }
--- a/proxy/src/test/java/dockrelay/proxy/CallPacingTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/CallPacingTest.java
@@ -19,8 +19,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * The calls of a whole fleet on a virtual clock, to a discovery that serves one call after another, also those
- * that have failed by then for having waited too long. Times are in milliseconds.
+ * The calls of a whole fleet on a virtual clock, to a discovery that serves one call after another, also
+ * those that have failed by then for having waited too long. Times are in milliseconds.
  */
 class CallPacingTest {
     private static final long ASK_WITHIN = 10_000, MAX_WAIT = 2_000, GRACE = 1_500;
--- a/proxy/src/test/java/dockrelay/proxy/CrowdedDiscoveryTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/CrowdedDiscoveryTest.java
@@ -16,13 +16,13 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * Most proxies of a fleet were killed at once and started again while discovery had more callers than it could
- * serve. Some of them had no list ten seconds later and went on sending to servers that were gone by then. A
- * call that discovery had let in waited up to two seconds for its turn, but the proxy took one that was not
- * answered within 1.5 s for dead and made a second call beside it. Discovery refused that one, and with it
- * the first: "call 6 after version 0, 1516 ms old, failed: answered 503" and "call 7 after version 0, 15 ms
- * old, failed: answered 503" have the same time of day in the log. With all proxies doing so no call was
- * answered for ten seconds, though ten a second were let in.
+ * Most proxies of a fleet were killed at once and started again while discovery had more callers than it
+ * could serve. Some of them had no list ten seconds later and went on sending to servers that were gone by
+ * then. A call that discovery had let in waited up to two seconds for its turn, but the proxy took one that
+ * was not answered within 1.5 s for dead and made a second call beside it. Discovery refused that one, and
+ * with it the first: "call 6 after version 0, 1516 ms old, failed: answered 503" and "call 7 after version
+ * 0, 15 ms old, failed: answered 503" have the same time of day in the log. With all proxies doing so no
+ * call was answered for ten seconds, though ten a second were let in.
  */
 class CrowdedDiscoveryTest {
     private static final int PROXIES = 4;
--- a/proxy/src/test/java/dockrelay/proxy/DiscoveryCollapseTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/DiscoveryCollapseTest.java
@@ -16,12 +16,12 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * After an outage of discovery a large fleet stayed without a list for ten seconds and more, and went on sending
- * to servers that were gone. Discovery could serve some 19 calls a second; each proxy that waited for a list made
- * about one a second. A call that had waited for two seconds failed and was made again at once, but kept its
- * place in discovery's queue, so that discovery served callers that had gone: of 828 calls begun in the last
- * eleven seconds of a day none was answered. With one call of each proxy in five seconds, all else equal, all 39
- * calls of the three seconds after the outage were answered.
+ * After an outage of discovery a large fleet stayed without a list for ten seconds and more, and went on
+ * sending to servers that were gone. Discovery could serve some 19 calls a second; each proxy that waited
+ * for a list made about one a second. A call that had waited for two seconds failed and was made again at
+ * once, but kept its place in discovery's queue, so that discovery served callers that had gone: of 828
+ * calls begun in the last eleven seconds of a day none was answered. With one call of each proxy in five
+ * seconds, all else equal, all 39 calls of the three seconds after the outage were answered.
  */
 class DiscoveryCollapseTest {
     private static final int PROXIES = 16;
--- a/proxy/src/test/java/dockrelay/proxy/ProxyProcess.java
+++ b/proxy/src/test/java/dockrelay/proxy/ProxyProcess.java
@@ -1,18 +1,26 @@
 package dockrelay.proxy;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import java.io.File;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** The proxy as a process of its own at an address of its own, started and killed as often as a test wants. */
+/**
+ * The proxy as a process of its own at an address of its own, started and killed as often as a test wants.
+ */
 final class ProxyProcess implements AutoCloseable {
     private static final AtomicInteger MADE = new AtomicInteger();
     private static final int LOW_BYTE = 250;
+    private static final long PATIENCE_SECONDS = 20;
+    private static final String CONFIGURATION = "config.json";
 
     private final Path folder;
     /** Its own, so that no other test can take the port while the process is down. */
@@ -29,16 +37,27 @@
         }
     }
 
-    /** Starts with this list and these further settings, as {@link Fakes#text} lays them out. */
-    void start(int discoveryPort, String known, String settings) throws IOException {
-        Path file = folder.resolve("config.json");
-        Files.writeString(file, Fakes.text(port, discoveryPort, 1024, known, settings)
+    /**
+     * Writes the configuration: this list and these further settings, as {@link Fakes#text} lays them out.
+     */
+    void configure(int discoveryPort, String known, String settings) throws IOException {
+        configure(Fakes.text(port, discoveryPort, 1024, known, settings)
             .replace("\"listen\":\"127.0.0.1:", "\"listen\":\"" + host + ":"));
+    }
+
+    /** Writes this in place of the configuration. */
+    void configure(String text) throws IOException {
+        Files.writeString(folder.resolve(CONFIGURATION), text);
+    }
+
+    /** Starts with a configuration like that. */
+    void start(int discoveryPort, String known, String settings) throws IOException {
+        configure(discoveryPort, known, settings);
         ProcessBuilder builder = new ProcessBuilder(
             ProcessHandle.current().info().command().orElseThrow(), "-Xmx64m", "-XX:TieredStopAtLevel=1",
             "-cp", System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
             Main.class.getName(), "serve");
-        builder.environment().put("PROXY_CONFIG", file.toString());
+        builder.environment().put("PROXY_CONFIG", folder.resolve(CONFIGURATION).toString());
         builder.environment().remove("TMPDIR");
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(new File(folder.toFile(), "log")));
@@ -59,8 +78,23 @@
         return new Fakes.ClientFake(new Socket(host, port));
     }
 
-    String log() throws IOException {
-        return Files.readString(folder.resolve("log"));
+    String log() {
+        try {
+            return Files.readString(folder.resolve("log"));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Sends a signal by its name, such as TERM. */
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
+    /** Waits until it has ended by itself, and returns its exit status. */
+    int awaitEnd() throws InterruptedException {
+        assertTrue(process.waitFor(PATIENCE_SECONDS, TimeUnit.SECONDS), "it ends");
+        return process.exitValue();
     }
 
     /** Kills it with SIGKILL and waits until it is gone. */
--- a/proxy/src/test/java/dockrelay/proxy/QueueingDiscovery.java
+++ b/proxy/src/test/java/dockrelay/proxy/QueueingDiscovery.java
@@ -13,8 +13,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Discovery that serves the calls of all its callers one after another, in the order in which they came. A call
- * that has waited too long fails, but takes its time in the queue all the same: nobody takes it out.
+ * Discovery that serves the calls of all its callers one after another, in the order in which they came. A
+ * call that has waited too long fails, but takes its time in the queue all the same: nobody takes it out.
  */
 final class QueueingDiscovery implements AutoCloseable {
     private static final long MAX_WAIT_MILLIS = 2_000;
