--- a/proxy/src/main/java/dockrelay/proxy/Discovery.java
+++ b/proxy/src/main/java/dockrelay/proxy/Discovery.java
@@ -43,7 +43,7 @@
     private ListWatch standby; // connected for the next call; null while there is none
     private ListWatch heard; // whose first object has come
     private long triedAt;
-    private long confirmedAt = System.nanoTime(); // when discovery last told what holds, or that it still does
+    private long confirmedAt = System.nanoTime(); // when discovery last sent a change or a heartbeat
     private int calls;
     private int round, behind; // a timer of an earlier round means nothing
     private boolean following, closed;
