--- a/proxy/src/main/java/dockrelay/proxy/CallPacing.java
+++ b/proxy/src/main/java/dockrelay/proxy/CallPacing.java
@@ -15,8 +15,8 @@
      * Of the interval, for each proxy of the fleet: four calls a second of all, up to the longest interval.
      */
     static final long INTERVAL_PER_PROXY = 250;
-    /** What is published counts as known after {@link ListClock#TOLD}: a call and its wait have to fit in. */
-    static final long MAX_INTERVAL = ListClock.TOLD - 1_000;
+    /** Shorter than {@link DiscoveryTimeouts#TOLD}: a call and its wait have to fit in as well. */
+    static final long MAX_INTERVAL = DiscoveryTimeouts.TOLD - 1_000;
     /** Parts of an interval over which calls spread that are due sooner than others. */
     private static final double START_PART = 0.8, SILENT_PART = 0.7, MOVED_PART = 0.75;
     /** Repeats come after this part of an interval at the least, and as much later than one at the most. */
@@ -31,9 +31,9 @@
     CallPacing(int proxies, long askWithin, long seed) {
         long longest = askWithin <= 0 ? MAX_INTERVAL : Math.min(askWithin, MAX_INTERVAL);
         interval = Math.min(longest, proxies * INTERVAL_PER_PROXY);
-        shared = interval > ListClock.MOST_APART;
-        long longestBackoff = Math.min(longest, ListClock.MOST_APART);
-        backoff = new Backoff(Math.min(longestBackoff, ListClock.FIRST_APART), longestBackoff, seed);
+        shared = interval > DiscoveryTimeouts.MOST_APART;
+        long longestBackoff = Math.min(longest, DiscoveryTimeouts.MOST_APART);
+        backoff = new Backoff(Math.min(longestBackoff, DiscoveryTimeouts.FIRST_APART), longestBackoff, seed);
         random = new SplittableRandom(seed);
     }
 
@@ -41,12 +41,12 @@
      * By when the first call of a process that starts has to be made; the module makes it sooner by chance.
      */
     long firstCallBy() {
-        return Math.max(ListClock.MOST_APART, (long) (interval * START_PART));
+        return Math.max(DiscoveryTimeouts.MOST_APART, (long) (interval * START_PART));
     }
 
     /** The first call of a process that takes over from one that still runs: what holds is due at once. */
     long firstCallOfSuccessor() {
-        return spread(ListClock.MOST_APART);
+        return spread(DiscoveryTimeouts.MOST_APART);
     }
 
     /** After a watch has ended: those of all proxies may have ended with it. */
@@ -67,7 +67,7 @@
     /** After a call has failed that began so long ago: the wait is counted from its begin. */
     long afterFailure(long sinceStart) {
         if (!shared) {
-            return ListClock.after(sinceStart, backoff.next());
+            return DiscoveryTimeouts.after(sinceStart, backoff.next());
         }
         long least = (long) (interval * MIN_REPEAT_PART);
         return Math.max(0, least + spread(2 * (interval - least)) - sinceStart);
--- a/proxy/src/main/java/dockrelay/proxy/Discovery.java
+++ b/proxy/src/main/java/dockrelay/proxy/Discovery.java
@@ -14,9 +14,9 @@
 /**
  * The watch on the list of backends. Where lists are pushed it is opened at once, where discovery is asked
  * when the module first says so; from then on it is opened anew whenever it ends, in the time that {@link
- * ListClock} sums up, whatever the module waits for: it is only told of failures.
+ * DiscoveryTimeouts} sums up, whatever the module waits for: it is only told of failures.
  */
-final class Discovery implements ListWatch.Hearer, ListApplier.Sink {
+final class Discovery implements DiscoveryWatch.Listener, ListApplier.Sink {
     private static final long FIRST_BACKOFF_MILLIS = 50;
     /** Pushed lists count from the moment at which the agent has them: well within a drain's grace. */
     private static final long MOST_BACKOFF_MILLIS = 500;
@@ -38,10 +38,10 @@
     private final CallPacing pacing; // where discovery is asked
     private final Backoff pushedBackoff; // where lists are pushed, by an agent of this host's own
     private final CountDownLatch listed = new CountDownLatch(1);
-    private final List<ListWatch> trying = new ArrayList<>();
-    private ListWatch watch; // the one that has spoken; null while there is none
-    private ListWatch standby; // connected for the next call; null while there is none
-    private ListWatch heard; // whose first object has come
+    private final List<DiscoveryWatch> trying = new ArrayList<>();
+    private DiscoveryWatch watch; // the one that has spoken; null while there is none
+    private DiscoveryWatch standby; // connected for the next call; null while there is none
+    private DiscoveryWatch heard; // whose first object has come
     private long triedAt;
     private long confirmedAt = System.nanoTime(); // when discovery last sent a change or a heartbeat
     private int calls;
@@ -131,7 +131,7 @@
         }
     }
 
-    private void abandon(ListWatch call, String why) {
+    private void abandon(DiscoveryWatch call, String why) {
         counters.add(Count.DISCOVERY_ABANDONED);
         Log.line("discovery", call.describe() + ", is given up: " + why);
         call.close();
@@ -161,13 +161,13 @@
         if (trying.size() >= MOST_BESIDE) {
             abandon(trying.remove(0), "too many at once");
         }
-        ListWatch call = standby == null ? new ListWatch(bootstrap, address, this) : standby;
+        DiscoveryWatch call = standby == null ? new DiscoveryWatch(bootstrap, address, this) : standby;
         standby = null;
         trying.add(call);
         counters.add(Count.DISCOVERY_CALLS);
         call.call(version, ++calls);
-        attemptIn(ListClock.ANSWER);
-        connectIn(ListClock.BESIDE);
+        attemptIn(DiscoveryTimeouts.ANSWER);
+        connectIn(DiscoveryTimeouts.BESIDE);
     }
 
     /** Connects for the call after this one, which is made at once then if this one is not answered. */
@@ -175,7 +175,7 @@
         int mine = round;
         loop.schedule(() -> {
             if (mine == round && !closed && standby == null) {
-                standby = new ListWatch(bootstrap, address, this);
+                standby = new DiscoveryWatch(bootstrap, address, this);
             }
         }, millis, TimeUnit.MILLISECONDS);
     }
@@ -196,8 +196,8 @@
     private void attemptIn(long millis) {
         int mine = ++round;
         loop.schedule(() -> {
-            if (mine == round && !closed && trying.stream().anyMatch(ListWatch::moves)) {
-                attemptIn(ListClock.LATENESS);
+            if (mine == round && !closed && trying.stream().anyMatch(DiscoveryWatch::moves)) {
+                attemptIn(DiscoveryTimeouts.LATENESS);
             } else if (mine == round && !closed) {
                 attempt();
             }
@@ -205,7 +205,7 @@
     }
 
     @Override
-    public void over(ListWatch ended, String why, boolean silent) {
+    public void over(DiscoveryWatch ended, String why, boolean silent) {
         if (ended == standby) {
             standby = null; // the next call connects anew
             return;
@@ -237,7 +237,7 @@
         } else if (wasWatch) {
             return asked ? pacing.afterEnd() : pushedBackoff.next();
         }
-        return asked ? pacing.afterFailure(since) : ListClock.after(since, pushedBackoff.next());
+        return asked ? pacing.afterFailure(since) : DiscoveryTimeouts.after(since, pushedBackoff.next());
     }
 
     /** One that lags behind catches up; else another one is asked, and in the end the whole list. */
@@ -249,11 +249,11 @@
                 version = behind < MOST_BEHIND ? version : -1;
                 renew();
             }
-        }, ListClock.TOLD, TimeUnit.MILLISECONDS);
+        }, DiscoveryTimeouts.TOLD, TimeUnit.MILLISECONDS);
     }
 
     /** The first that speaks is the watch, and those beside it are not needed any more. */
-    private boolean takes(ListWatch by) {
+    private boolean takes(DiscoveryWatch by) {
         confirmedAt = System.nanoTime();
         if (by == watch) {
             return false;
@@ -269,7 +269,7 @@
     }
 
     @Override
-    public void alive(ListWatch by) {
+    public void alive(DiscoveryWatch by) {
         if (takes(by)) {
             Log.line("discovery", "nothing new since version " + version);
         }
@@ -281,7 +281,7 @@
     }
 
     @Override
-    public void said(ListWatch by, ListParser.Update update) {
+    public void said(DiscoveryWatch by, ListParser.Update update) {
         long told = update.version();
         takes(by);
         boolean first = by != heard;
--- a/proxy/src/main/java/dockrelay/proxy/ListClock.java
+++ b/proxy/src/main/java/dockrelay/proxy/DiscoveryTimeouts.java
@@ -5,7 +5,7 @@
  * told 6 s after it had it and could be reached, whether it arrived or not: all that can lie between has to
  * fit into that. Times are in milliseconds; docs/standing.md has the sums in words.
  */
-final class ListClock {
+final class DiscoveryTimeouts {
     /**
      * What discovery has and could tell counts as told so long after (the pages of protocol and standing
      * test).
@@ -42,7 +42,7 @@
      */
     static final int FIRST_APART = 500;
 
-    private ListClock() {
+    private DiscoveryTimeouts() {
     }
 
     /**
--- a/proxy/src/main/java/dockrelay/proxy/ListWatch.java
+++ b/proxy/src/main/java/dockrelay/proxy/DiscoveryWatch.java
@@ -31,27 +31,27 @@
  * connection comes up at once, the call is made when it is asked for. Nothing here ends a call that waits for
  * its answer: discovery may be busy with other callers. Once it has spoken it must not fall silent.
  */
-final class ListWatch {
+final class DiscoveryWatch {
     private static final int LONGEST_READ = 16 << 10;
-    private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(ListClock.SILENT);
-    private static final long LATENESS_NANOS = TimeUnit.MILLISECONDS.toNanos(ListClock.LATENESS);
+    private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(DiscoveryTimeouts.SILENT);
+    private static final long LATENESS_NANOS = TimeUnit.MILLISECONDS.toNanos(DiscoveryTimeouts.LATENESS);
 
     /** Hears what a watch says, on the event loop. */
-    interface Hearer {
+    interface Listener {
         /** Between two objects: nothing has changed, as far as discovery knows. */
-        void alive(ListWatch watch);
+        void alive(DiscoveryWatch watch);
 
         /** What is to be kept of one entry, as soon as it has come. */
         Object read(Map<?, ?> entry);
 
         /** One object, however it is laid out, with its entries as they were read. */
-        void said(ListWatch watch, ListParser.Update update);
+        void said(DiscoveryWatch watch, ListParser.Update update);
 
         /** It is over, once; silent if it only ceased to speak. */
-        void over(ListWatch watch, String why, boolean silent);
+        void over(DiscoveryWatch watch, String why, boolean silent);
     }
 
-    private final Hearer hearer;
+    private final Listener listener;
     private final Channel channel;
     private final String host;
     private int number; // 0 until the call is made
@@ -61,11 +61,11 @@
     private boolean silent, over, within; // an object of which more is to come
 
     /** Connects, and no more. */
-    ListWatch(Bootstrap template, InetSocketAddress address, Hearer hearer) {
-        this.hearer = hearer;
+    DiscoveryWatch(Bootstrap template, InetSocketAddress address, Listener listener) {
+        this.listener = listener;
         this.host = address.getHostString() + ":" + address.getPort();
         ChannelFuture connecting = template.clone()
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, ListClock.CONNECT)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DiscoveryTimeouts.CONNECT)
             // Requests have their turn between two parts of a long list.
             .option(ChannelOption.RECVBUF_ALLOCATOR,
                 new FixedRecvByteBufAllocator(LONGEST_READ).maxMessagesPerRead(1))
@@ -130,7 +130,7 @@
     private void over(String reason) {
         if (!over) {
             over = true;
-            hearer.over(this, reason, silent);
+            listener.over(this, reason, silent);
         }
     }
 
@@ -144,7 +144,8 @@
                 return;
             }
             if (part instanceof HttpResponse) {
-                context.pipeline().addFirst(new ReadTimeoutHandler(ListClock.SILENT, TimeUnit.MILLISECONDS));
+                context.pipeline().addFirst(
+                    new ReadTimeoutHandler(DiscoveryTimeouts.SILENT, TimeUnit.MILLISECONDS));
             }
             if (part instanceof HttpContent content && !over) {
                 boolean some = content.content().isReadable(), blank = isBlank(content.content());
@@ -154,11 +155,11 @@
                 }
                 context.fireChannelRead(content.content().retain());
                 if (some && blank && !within && !over) {
-                    hearer.alive(ListWatch.this);
+                    listener.alive(DiscoveryWatch.this);
                 }
                 if (within && System.nanoTime() - withinSince > SILENT_NANOS) {
                     silent = true; // it may send blanks for ever, and they count for nothing in there
-                    why = "half an object for " + ListClock.SILENT + " ms";
+                    why = "half an object for " + DiscoveryTimeouts.SILENT + " ms";
                     context.close();
                 }
                 if (part instanceof LastHttpContent) {
@@ -173,13 +174,13 @@
     }
 
     private final class Objects extends SimpleChannelInboundHandler<ByteBuf> {
-        private final ListParser parser = new ListParser(entry -> hearer.read(entry), this::said);
+        private final ListParser parser = new ListParser(entry -> listener.read(entry), this::said);
         private final byte[] bytes = new byte[LONGEST_READ];
 
         private void said(ListParser.Update update) {
             within = false;
             if (!over) {
-                hearer.said(ListWatch.this, update);
+                listener.said(DiscoveryWatch.this, update);
             }
         }
 
@@ -204,7 +205,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             silent = cause instanceof ReadTimeoutException;
-            why = silent ? "silent for " + ListClock.SILENT + " ms" : cause.toString();
+            why = silent ? "silent for " + DiscoveryTimeouts.SILENT + " ms" : cause.toString();
             context.close();
         }
     }
--- a/proxy/src/test/java/dockrelay/proxy/CallPacingTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/CallPacingTest.java
@@ -30,13 +30,13 @@
     /** What makes all proxies, or most of them, call at about the same time. */
     private enum Trigger {
         /** Discovery is down for 8 s, and comes back with changes. */
-        OUTAGE(ListClock.TOLD + GRACE),
+        OUTAGE(DiscoveryTimeouts.TOLD + GRACE),
         /** All start within half a second. */
-        START(ListClock.TOLD + GRACE),
+        START(DiscoveryTimeouts.TOLD + GRACE),
         /** All watches fall silent within a heartbeat; counted from the silence. */
-        SILENCE(ListClock.TOLD + GRACE),
+        SILENCE(DiscoveryTimeouts.TOLD + GRACE),
         /** Discovery moves, and all are notified at once. */
-        MOVE(ListClock.TOLD_MOVED + GRACE);
+        MOVE(DiscoveryTimeouts.TOLD_MOVED + GRACE);
 
         final long limit;
 
@@ -73,7 +73,7 @@
             boolean[] over = new boolean[1];
             open.add(over);
             after(MAX_WAIT, () -> fail(over));
-            callIn(ListClock.ANSWER);
+            callIn(DiscoveryTimeouts.ANSWER);
             if (now >= downUntil) {
                 queue.add(() -> answer(over));
                 serve();
@@ -155,7 +155,7 @@
                 case OUTAGE -> caller.pacing.afterEnd();
                 case START -> random.nextLong(500)
                     + Math.min(firstCall(fleet, random.nextLong()), caller.pacing.firstCallBy());
-                case SILENCE -> ListClock.SILENT - random.nextLong(ListClock.HEARTBEAT)
+                case SILENCE -> DiscoveryTimeouts.SILENT - random.nextLong(DiscoveryTimeouts.HEARTBEAT)
                     + caller.pacing.afterSilence();
                 case MOVE -> caller.pacing.afterMove();
             });
@@ -191,10 +191,11 @@
         assertEquals(0, pacing.afterMove());
         for (int i = 0; i < 100; i++) {
             long wait = pacing.afterFailure(0);
-            assertTrue(wait <= Math.min(ListClock.FIRST_APART << Math.min(i, 10), ListClock.MOST_APART),
+            assertTrue(wait <= Math.min(DiscoveryTimeouts.FIRST_APART << Math.min(i, 10),
+                DiscoveryTimeouts.MOST_APART),
                 i + ": " + wait);
         }
-        assertEquals(0, pacing.afterFailure(ListClock.MOST_APART), "counted from the call's begin");
+        assertEquals(0, pacing.afterFailure(DiscoveryTimeouts.MOST_APART), "counted from the call's begin");
     }
 
     /** Settings that want a call sooner than that are kept. */
--- a/proxy/src/test/java/dockrelay/proxy/CrowdedDiscoveryTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/CrowdedDiscoveryTest.java
@@ -28,7 +28,7 @@
     private static final int PROXIES = 4;
     private static final long GRACE_MILLIS = 1_500;
     /** After that no request may reach a removed backend, however crowded discovery was. */
-    private static final long STOPPED_MILLIS = ListClock.TOLD + GRACE_MILLIS + 50;
+    private static final long STOPPED_MILLIS = DiscoveryTimeouts.TOLD + GRACE_MILLIS + 50;
     private static final String SETTINGS = "\"Discovery\":\"ask\",\"Obligations\":{\"AskWithin\":10.0,"
         + "\"DrainGrace\":1.5},";
 
--- a/proxy/src/test/java/dockrelay/proxy/DiscoveryCollapseTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/DiscoveryCollapseTest.java
@@ -71,7 +71,7 @@
         TimeUnit.MILLISECONDS.sleep(OUTAGE_MILLIS);
         discovery.comeBack(DiscoveryFake.list(2, true, keptEntry));
         long stopped = System.nanoTime()
-            + TimeUnit.MILLISECONDS.toNanos(ListClock.TOLD + GRACE_MILLIS + 50);
+            + TimeUnit.MILLISECONDS.toNanos(DiscoveryTimeouts.TOLD + GRACE_MILLIS + 50);
         List<RequestLoop> clients = new ArrayList<>();
         for (ProxyProcess proxy : proxies) {
             clients.add(new RequestLoop(proxy, stopped, stopped + TimeUnit.SECONDS.toNanos(1)));
--- a/proxy/src/test/java/dockrelay/proxy/ListClockTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/DiscoveryTimeoutsTest.java
@@ -6,10 +6,11 @@
 import org.junit.jupiter.api.Test;
 
 /** All that may lie between discovery's return and the list fits into the time in which it counts as told. */
-class ListClockTest {
+class DiscoveryTimeoutsTest {
     /** How a call ends while discovery is away, and how long that takes. */
     private enum Away {
-        REFUSED(1), TURNED_AWAY(1_000), NO_CONNECTION(ListClock.CONNECT), NOTHING_SAID(Integer.MAX_VALUE);
+        REFUSED(1), TURNED_AWAY(1_000), NO_CONNECTION(DiscoveryTimeouts.CONNECT),
+        NOTHING_SAID(Integer.MAX_VALUE);
 
         final int millis;
 
@@ -23,12 +24,13 @@
      * wait where one has failed. Returns when the first one begins at or after this time.
      */
     private static long firstTryFrom(long back, Away away, SplittableRandom random) {
-        Backoff backoff = new Backoff(ListClock.FIRST_APART, ListClock.MOST_APART, random.nextLong());
+        Backoff backoff = new Backoff(DiscoveryTimeouts.FIRST_APART, DiscoveryTimeouts.MOST_APART,
+            random.nextLong());
         long begins = 0;
         while (begins < back) {
-            long next = begins + ListClock.BESIDE;
-            if (away.millis < ListClock.BESIDE) {
-                next = begins + away.millis + ListClock.after(away.millis, backoff.next());
+            long next = begins + DiscoveryTimeouts.BESIDE;
+            if (away.millis < DiscoveryTimeouts.BESIDE) {
+                next = begins + away.millis + DiscoveryTimeouts.after(away.millis, backoff.next());
             }
             begins = Math.max(begins + 1, next);
         }
@@ -43,8 +45,8 @@
                 long back = 1 + random.nextLong(30_000);
                 long begins = firstTryFrom(back, away, random);
                 // That try says nothing, the one beside it has a connection that comes up late.
-                long asked = begins + ListClock.BESIDE + ListClock.LATE_CONNECTION;
-                assertTrue(asked + ListClock.call() - back <= ListClock.TOLD,
+                long asked = begins + DiscoveryTimeouts.BESIDE + DiscoveryTimeouts.LATE_CONNECTION;
+                assertTrue(asked + DiscoveryTimeouts.call() - back <= DiscoveryTimeouts.TOLD,
                     away + ": asked " + (asked - back) + " ms after discovery was back");
             }
         }
@@ -52,7 +54,8 @@
 
     @Test
     void eachOfTheSumsLeavesTimeForTheCall() {
-        assertTrue(ListClock.call() >= 900, ListClock.call() + " ms");
-        assertTrue(ListClock.MOST_APART >= ListClock.BESIDE, "a slow call is not given up for a wait");
+        assertTrue(DiscoveryTimeouts.call() >= 900, DiscoveryTimeouts.call() + " ms");
+        assertTrue(DiscoveryTimeouts.MOST_APART >= DiscoveryTimeouts.BESIDE,
+            "a slow call is not given up for a wait");
     }
 }
--- a/proxy/src/test/java/dockrelay/proxy/ListWatchTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/DiscoveryWatchTest.java
@@ -23,7 +23,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Watches that fall silent, stop in the middle, lag behind or are laid out otherwise: real sockets. */
-class ListWatchTest {
+class DiscoveryWatchTest {
     private static final String ASKED = "\"Discovery\":\"ask\",\"Obligations\":{\"AskWithin\":0.2},";
 
     /** How a watch goes wrong once it has told the first list. */
@@ -223,7 +223,7 @@
             beats.start();
             awaitServedBy("one");
             long since = System.nanoTime();
-            long longer = (ListClock.SILENT + ListClock.BESIDE) * 1_000_000L;
+            long longer = (DiscoveryTimeouts.SILENT + DiscoveryTimeouts.BESIDE) * 1_000_000L;
             Fakes.await("more than a silence has passed", () -> System.nanoTime() - since > longer);
             assertEquals(1, discovery.asked.size());
             beats.interrupt();
@@ -254,9 +254,12 @@
 
     @Test
     void allThatLiesBetweenASilenceAndTheNewListFitsIntoTheTimeItMayTake() {
-        assertTrue(ListClock.SILENT > ListClock.HEARTBEAT, "a heartbeat that is on time is no silence");
-        assertTrue(ListClock.CONNECT > ListClock.LATE_CONNECTION, "a late connection is taken");
-        assertTrue(ListClock.BESIDE > ListClock.LATE_CONNECTION, "it has time to answer before another one");
-        assertTrue(ListClock.call() >= 500, ListClock.call() + " ms are left for the call");
+        assertTrue(DiscoveryTimeouts.SILENT > DiscoveryTimeouts.HEARTBEAT,
+            "a heartbeat that is on time is no silence");
+        assertTrue(DiscoveryTimeouts.CONNECT > DiscoveryTimeouts.LATE_CONNECTION,
+            "a late connection is taken");
+        assertTrue(DiscoveryTimeouts.BESIDE > DiscoveryTimeouts.LATE_CONNECTION,
+            "it has time to answer before another one");
+        assertTrue(DiscoveryTimeouts.call() >= 500, DiscoveryTimeouts.call() + " ms are left for the call");
     }
 }
