Follow an unanswered call of a large fleet by another only after its interval

Cause: a discovery that lets calls wait for more than 2.5 s would have met the second call beside each of them again. Change: CallPacing.whileUnanswered, an interval in fleets of over eight, 2.5 s else.

--- a/proxy/src/main/java/dockrelay/proxy/CallPacing.java
+++ b/proxy/src/main/java/dockrelay/proxy/CallPacing.java
@@ -64,13 +64,26 @@
         return shared ? spread((long) (interval * MOVED_PART)) : 0;
     }
 
+    /**
+     * After a call has begun, as long as it has no answer: then it is taken for dead, and another one begins
+     * beside it. In a large fleet that one waits for its turn too, as the first may be waiting for its own.
+     */
+    long whileUnanswered() {
+        return shared ? Math.max(DiscoveryTimeouts.ANSWER, nextInterval()) : DiscoveryTimeouts.ANSWER;
+    }
+
     /** After a call has failed that began so long ago: the wait is counted from its begin. */
     long afterFailure(long sinceStart) {
         if (!shared) {
             return DiscoveryTimeouts.after(sinceStart, backoff.next());
         }
+        return Math.max(0, nextInterval() - sinceStart);
+    }
+
+    /** From the begin of one call to that of the next. */
+    private long nextInterval() {
         long least = (long) (interval * MIN_REPEAT_PART);
-        return Math.max(0, least + spread(2 * (interval - least)) - sinceStart);
+        return least + spread(2 * (interval - least));
     }
 
     /** A call was answered. */
--- a/proxy/src/main/java/dockrelay/proxy/Discovery.java
+++ b/proxy/src/main/java/dockrelay/proxy/Discovery.java
@@ -166,8 +166,9 @@
         trying.add(call);
         counters.add(Count.DISCOVERY_CALLS);
         call.call(version, ++calls);
-        attemptIn(DiscoveryTimeouts.ANSWER);
-        connectIn(DiscoveryTimeouts.BESIDE);
+        long unanswered = pacing.whileUnanswered();
+        attemptIn(unanswered);
+        connectIn(unanswered - DiscoveryTimeouts.LATE_CONNECTION);
     }
 
     /** Connects for the call after this one, which is made at once then if this one is not answered. */
