--- a/decision/src/main/java/dockrelay/RiqBalancer.java
+++ b/decision/src/main/java/dockrelay/RiqBalancer.java
@@ -74,9 +74,6 @@
     private static final double COME_BACK_AIMS = 0.1; // or so, if there is no room: in time for the aim
     private static final double TRIMMED = 0.95; // share of the usual time budget: below it is a later try's
     private static final double FIRST_ASK_SHARE = 0.2; // of askWithin, so that proxies do not call in step
-    // The first calls of a fleet that starts together spread over so much for each proxy, and over this share
-    // of askWithin at most: discovery serves one after another, and calls that expire cost it as much.
-    private static final double FIRST_ASK_EACH = 200_000, FIRST_ASK_MOST = 0.4;
     private static final long SUBSCRIBE_TOKEN = 0, TELL_TOKEN = 1;
 
     private final Settings settings;
@@ -189,9 +186,7 @@
         double within = settings.rules().askWithin();
         asking = asking && scope == ListScope.CACHED;
         if (scope == ListScope.CACHED) {
-            double fleet = Math.min(within * FIRST_ASK_MOST, settings.proxies() * FIRST_ASK_EACH);
-            double spread = Math.max(within * FIRST_ASK_SHARE, fleet);
-            actions.setTimer((long) (spread * uniform()), SUBSCRIBE_TOKEN);
+            actions.setTimer((long) (within * FIRST_ASK_SHARE * uniform()), SUBSCRIBE_TOKEN);
         } else if (scope == ListScope.FAILED) {
             subscribed = false;
             failedAsks = Math.min(failedAsks + 1, 4);
--- a/proxy/src/main/java/dockrelay/proxy/CallPacing.java
+++ b/proxy/src/main/java/dockrelay/proxy/CallPacing.java
@@ -37,11 +37,14 @@
         random = new SplittableRandom(seed);
     }
 
-    /**
-     * By when the first call of a process that starts has to be made; the module makes it sooner by chance.
-     */
-    long firstCallBy() {
-        return Math.max(DiscoveryTimeouts.MOST_APART, (long) (interval * START_PART));
+    /** Whether this decides on the first call too, and not the module, which knows one proxy alone. */
+    boolean decidesFirstCall() {
+        return shared;
+    }
+
+    /** After the start of a process: in a small fleet by when the module has to have made the first call. */
+    long firstCall() {
+        return shared ? spread((long) (interval * START_PART)) : DiscoveryTimeouts.MOST_APART;
     }
 
     /** The first call of a process that takes over from one that still runs: what holds is due at once. */
--- a/proxy/src/main/java/dockrelay/proxy/Discovery.java
+++ b/proxy/src/main/java/dockrelay/proxy/Discovery.java
@@ -74,11 +74,11 @@
     void start(KnownList cached, boolean successor) {
         version = cached.version();
         tell(ListScope.CACHED, listing.take(cached.take(), true));
-        if (!asked) {
-            subscribe();
-        } else { // the module asks sooner than that, unless its settings let it wait longer
-            long wait = successor ? pacing.firstCallOfSuccessor() : pacing.firstCallBy();
-            loop.schedule(this::subscribe, wait, TimeUnit.MILLISECONDS);
+        if (asked) {
+            long wait = successor ? pacing.firstCallOfSuccessor() : pacing.firstCall();
+            loop.schedule(this::follow, wait, TimeUnit.MILLISECONDS);
+        } else {
+            follow();
         }
     }
 
@@ -111,8 +111,15 @@
         anyReady = listing.anyReady();
     }
 
-    /** Follows the list from the version at hand, from now on; no more is needed where that is so already. */
+    /** The module wants to follow the list; when the proxies of a large fleet begin to is not its to say. */
     void subscribe() {
+        if (!pacing.decidesFirstCall()) {
+            follow();
+        }
+    }
+
+    /** Follows the list from the version at hand, from now on; no more is needed where that is so already. */
+    private void follow() {
         if (!following) {
             renew();
         }
--- a/proxy/src/test/java/dockrelay/proxy/CallPacingTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/CallPacingTest.java
@@ -3,10 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dockrelay.Balancer;
-import dockrelay.Balancer.ListScope;
-import dockrelay.RiqBalancer;
-import java.lang.reflect.Proxy;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -120,24 +116,6 @@
         }
     }
 
-    /** The first wait that the module sets after its cached list: until it wants to be subscribed. */
-    private static long firstCall(int fleet, long seed) {
-        long[] delay = new long[1];
-        Balancer.Actions actions = (Balancer.Actions) Proxy.newProxyInstance(
-            CallPacingTest.class.getClassLoader(), new Class<?>[] {Balancer.Actions.class},
-            (proxy, method, arguments) -> {
-                if ("setTimer".equals(method.getName())) {
-                    delay[0] = (Long) arguments[0] / 1_000;
-                }
-                return null;
-            });
-        Config config = Fakes.config(0, 1, 1024, "", "\"Discovery\":\"ask\",\"Balancers\":" + fleet
-            + ",\"Obligations\":{\"AskWithin\":10.0},");
-        RiqBalancer module = new RiqBalancer(config.settings(), seed, actions);
-        module.onMembers(1_000_000, ListScope.CACHED, List.of());
-        return delay[0];
-    }
-
     /** How long after the trigger, or after discovery's return, the last proxy has its list. */
     private long lastAnswer(int fleet, Trigger trigger, long wholeFleet, long seed) {
         events.clear();
@@ -154,7 +132,7 @@
             caller.callIn(switch (trigger) {
                 case OUTAGE -> caller.pacing.afterEnd();
                 case START -> random.nextLong(500)
-                    + Math.min(firstCall(fleet, random.nextLong()), caller.pacing.firstCallBy());
+                    + caller.pacing.firstCall();
                 case SILENCE -> DiscoveryTimeouts.SILENT - random.nextLong(DiscoveryTimeouts.HEARTBEAT)
                     + caller.pacing.afterSilence();
                 case MOVE -> caller.pacing.afterMove();
