Repeat calls that discovery refuses at once soon, twice in a row at the most

Cause: found by reading: in a fleet of over eight a single refused call would have cost 5 s, two in a row more than the 6 s in which a change has to be known. Change: two refusals within 300 ms, which cost discovery no turn, are followed by a backoff of up to 0.5 and 1 s; what has waited is paced as before. The simulation's discovery refuses at once what finds 60 calls waiting.

--- a/proxy/src/main/java/dockrelay/proxy/CallPacing.java
+++ b/proxy/src/main/java/dockrelay/proxy/CallPacing.java
@@ -21,11 +21,16 @@
     private static final double START_PART = 0.8, SILENT_PART = 0.7, MOVED_PART = 0.75;
     /** Repeats come after this part of an interval at the least, and as much later than one at the most. */
     private static final double MIN_REPEAT_PART = 0.75;
+    /** A call that ends sooner than that was refused, and has cost discovery no turn. */
+    static final long REFUSED_WITHIN = 300;
+    /** So many refused in a row are repeated after a backoff: one that fails by chance must not cost 5 s. */
+    static final int MAX_QUICK_REPEATS = 2;
 
     private final SplittableRandom random;
     private final Backoff backoff;
     private final long interval;
     private final boolean shared; // a fleet so large that its calls are spread over an interval
+    private int failures; // in a row
 
     /** For a fleet of so many; no wait is longer than the time within which the settings want a call. */
     CallPacing(int proxies, long askWithin, long seed) {
@@ -77,7 +82,8 @@
 
     /** After a call has failed that began so long ago: the wait is counted from its begin. */
     long afterFailure(long sinceStart) {
-        if (!shared) {
+        failures++;
+        if (!shared || sinceStart < REFUSED_WITHIN && failures <= MAX_QUICK_REPEATS) {
             return DiscoveryTimeouts.after(sinceStart, backoff.next());
         }
         return Math.max(0, nextInterval() - sinceStart);
@@ -91,6 +97,7 @@
 
     /** A call was answered. */
     void reset() {
+        failures = 0;
         backoff.reset();
     }
 
--- a/proxy/src/test/java/dockrelay/proxy/CallPacingTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/CallPacingTest.java
@@ -21,6 +21,7 @@
 class CallPacingTest {
     private static final long ASK_WITHIN = 10_000, MAX_WAIT = 2_000, GRACE = 1_500;
     private static final long END = 40_000;
+    private static final int MAX_QUEUE = 60; // what comes on top is refused at once
     private static final int SEEDS = 50;
 
     /** What makes all proxies, or most of them, call at about the same time. */
@@ -70,7 +71,9 @@
             open.add(over);
             after(MAX_WAIT, () -> fail(over));
             callIn(pacing.whileUnanswered());
-            if (now >= downUntil) {
+            if (now >= downUntil && queue.size() > MAX_QUEUE) {
+                after(1, () -> fail(over));
+            } else if (now >= downUntil) {
                 queue.add(() -> answer(over));
                 serve();
             }
@@ -176,6 +179,20 @@
         assertEquals(0, pacing.afterFailure(DiscoveryTimeouts.MOST_APART), "counted from the call's begin");
     }
 
+    /** A call that is refused by chance now and then is not one of a crowd; many in a row are. */
+    @Test
+    void aCallThatIsRefusedAtOnceIsRepeatedSoonButNotForEver() {
+        CallPacing pacing = new CallPacing(100, ASK_WITHIN, 3);
+        for (int i = 0; i < CallPacing.MAX_QUICK_REPEATS; i++) {
+            assertTrue(pacing.afterFailure(15) <= DiscoveryTimeouts.FIRST_APART << i);
+        }
+        assertTrue(pacing.afterFailure(15) >= CallPacing.MAX_INTERVAL / 2);
+        pacing.reset();
+        assertTrue(pacing.afterFailure(MAX_WAIT) >= CallPacing.MAX_INTERVAL / 2 - MAX_WAIT, "it had waited");
+        pacing.reset();
+        assertTrue(pacing.afterFailure(15) <= DiscoveryTimeouts.FIRST_APART, "counted anew after an answer");
+    }
+
     /** Settings that want a call sooner than that are kept. */
     @Test
     void noWaitIsMuchLongerThanTheSettingsAllow() {
