Spread the first calls of a large fleet over the whole interval

First calls came within 4 s, faster than a discovery with lists of 58 entries serves them; waits reached 1.5 s, and a call that waits 2 s is repeated 4 to 6 s after it began. Change: over 5 s, as calls after a watch's end.

--- a/proxy/src/main/java/dockrelay/proxy/CallPacing.java
+++ b/proxy/src/main/java/dockrelay/proxy/CallPacing.java
@@ -18,7 +18,7 @@
     /** Shorter than {@link DiscoveryTimeouts#TOLD}: a call and its wait have to fit in as well. */
     static final long MAX_INTERVAL = DiscoveryTimeouts.TOLD - 1_000;
     /** Parts of an interval over which calls spread that are due sooner than others. */
-    private static final double START_PART = 0.8, SILENT_PART = 0.7, MOVED_PART = 0.75;
+    private static final double SILENT_PART = 0.7, MOVED_PART = 0.75;
     /** Repeats come after this part of an interval at the least, and as much later than one at the most. */
     private static final double MIN_REPEAT_PART = 0.75;
     /** A call that ends sooner than that was refused, and has cost discovery no turn. */
@@ -49,7 +49,7 @@
 
     /** After the start of a process: in a small fleet by when the module has to have made the first call. */
     long firstCall() {
-        return shared ? spread((long) (interval * START_PART)) : DiscoveryTimeouts.MOST_APART;
+        return shared ? spread(interval) : DiscoveryTimeouts.MOST_APART;
     }
 
     /** The first call of a process that takes over from one that still runs: what holds is due at once. */
