Log how long discovery took to answer, where an answer broke and when the next call is due

Need: the incident's logs show calls and their ends, but not whether an answer ended in the middle nor how long the proxy then waits. Change: each call's line has the time to its answer and whether an object was cut; 'the next call is due in N ms'; counter discovery_broken.

--- a/proxy/src/main/java/dockrelay/proxy/Counters.java
+++ b/proxy/src/main/java/dockrelay/proxy/Counters.java
@@ -35,7 +35,9 @@
         /** Attempts by their outcome, where that was not a good answer. */
         ERROR, REJECTED, TIMEOUT, CONNECT_FAILURE, RESET, CANCELLED, NOT_SENT,
         /** Calls to discovery, those that ended without a list, and those given up while they waited. */
-        DISCOVERY_CALLS, DISCOVERY_FAILURES, DISCOVERY_ABANDONED
+        DISCOVERY_CALLS, DISCOVERY_FAILURES, DISCOVERY_ABANDONED,
+        /** Answers and watches of discovery that ended in the middle of an object. */
+        DISCOVERY_BROKEN
     }
 
     /** A figure of this moment that goes with the line. */
--- a/proxy/src/main/java/dockrelay/proxy/Discovery.java
+++ b/proxy/src/main/java/dockrelay/proxy/Discovery.java
@@ -226,13 +226,18 @@
         if (tried) {
             counters.add(Count.DISCOVERY_FAILURES);
         }
+        if (ended.isBroken()) {
+            counters.add(Count.DISCOVERY_BROKEN);
+        }
         Log.line("discovery", ended.describe() + (wasWatch ? ", the watch ended: " : ", failed: ") + why
             + "; others under way: " + trying.size());
         if (tried && !trying.isEmpty()) {
             return;
         }
         watch = wasWatch ? null : watch;
-        attemptIn(waitAfter(wasWatch, silent));
+        long wait = waitAfter(wasWatch, silent);
+        Log.line("discovery", "the next call is due in " + wait + " ms");
+        attemptIn(wait);
         if (asked) {
             table.members(ListScope.FAILED, List.of());
         }
--- a/proxy/src/main/java/dockrelay/proxy/DiscoveryWatch.java
+++ b/proxy/src/main/java/dockrelay/proxy/DiscoveryWatch.java
@@ -56,6 +56,7 @@
     private final String host;
     private int number; // 0 until the call is made
     private long version, calledAt;
+    private long answeredAt; // 0 until the head of a good answer has come
     private long withinSince, movedAt = Long.MIN_VALUE / 2;
     private String why = "connection closed";
     private boolean silent, over, within; // an object of which more is to come
@@ -108,7 +109,19 @@
             return "a connection without a call";
         }
         long age = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - calledAt);
-        return "call " + number + (version < 0 ? "" : " after version " + version) + ", " + age + " ms old";
+        return "call " + number + (version < 0 ? "" : " after version " + version) + ", " + age + " ms old"
+            + (answeredAt == 0 ? "" : ", answered after " + answerMillis() + " ms")
+            + (within ? ", in the middle of an object" : "");
+    }
+
+    /** How long discovery took from the call to the head of its answer. */
+    long answerMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(answeredAt - calledAt);
+    }
+
+    /** Whether a part of an object has come whose rest has not. */
+    boolean isBroken() {
+        return within;
     }
 
     /** Whether a part of an object that is not whole has come a moment ago. */
@@ -144,6 +157,7 @@
                 return;
             }
             if (part instanceof HttpResponse) {
+                answeredAt = System.nanoTime();
                 context.pipeline().addFirst(
                     new ReadTimeoutHandler(DiscoveryTimeouts.SILENT, TimeUnit.MILLISECONDS));
             }
