Pace calls to discovery by how they end, not by the size of the fleet alone

Seen by callers: requests to servers that were gone, up to 2.5 s after the proxy counted as notified, with about 100 processes. Cause: CallPacing drew up to 5 s after each end of a watch, and up to 6.25 s after a failed call, whatever that end said of discovery. An answer that breaks off counts as known when it is written, with 1.5 s of grace. Change: after a broken answer, or a connection lost before one, the next call comes within 100 ms, then by a doubling backoff; after a watch closed in good order within a quarter of the interval; refused calls back off; calls that waited in vain come an interval apart, which grows after four. Where all may call for one reason each has a slot of its own, over the time that discovery needs for the fleet by its fastest answer. A quarter of the starting proxies call at once. Why it works: an end tells a discovery with room from one that is away or crowded; slots keep the burst within its queue. CallPacingTest plays fleets of 1 to 100, outages of 0.1 to 30 s, cut and closed answers, in DiscoveryModel; its check of the interval after two refusals is kept with the new name of the bound.

--- a/proxy/src/main/java/dockrelay/proxy/Discovery.java
+++ b/proxy/src/main/java/dockrelay/proxy/Discovery.java
@@ -2,6 +2,7 @@
 
 import dockrelay.Balancer.ListScope;
 import dockrelay.proxy.Counters.Count;
+import dockrelay.proxy.DiscoveryWatch.Ending;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
@@ -59,7 +60,8 @@
         this.applier = new ListApplier(listing, task -> loop.schedule(task, 0, TimeUnit.NANOSECONDS), this);
         this.asked = config.settings().askedDiscovery();
         long within = TimeUnit.MICROSECONDS.toMillis(config.settings().rules().askWithin());
-        this.pacing = new CallPacing(asked ? config.settings().proxies() : 1, within, config.seed());
+        this.pacing = new CallPacing(asked ? config.settings().proxies() : 1, config.settings().me(), within,
+            config.seed());
         this.pushedBackoff = new Backoff(FIRST_BACKOFF_MILLIS, MOST_BACKOFF_MILLIS, config.seed());
         this.loop = loop;
         this.address = config.discovery();
@@ -213,7 +215,7 @@
     }
 
     @Override
-    public void over(DiscoveryWatch ended, String why, boolean silent) {
+    public void over(DiscoveryWatch ended, String why) {
         if (ended == standby) {
             standby = null; // the next call connects anew
             return;
@@ -226,16 +228,16 @@
         if (tried) {
             counters.add(Count.DISCOVERY_FAILURES);
         }
+        Log.line("discovery", ended.describe() + (wasWatch ? ", the watch ended: " : ", failed: ") + why
+            + "; others under way: " + trying.size());
+        watch = wasWatch ? null : watch;
         if (ended.isBroken()) {
             counters.add(Count.DISCOVERY_BROKEN);
         }
-        Log.line("discovery", ended.describe() + (wasWatch ? ", the watch ended: " : ", failed: ") + why
-            + "; others under way: " + trying.size());
-        if (tried && !trying.isEmpty()) {
+        if (!trying.isEmpty() && (wasWatch || !ended.isBroken())) {
             return;
         }
-        watch = wasWatch ? null : watch;
-        long wait = waitAfter(wasWatch, silent);
+        long wait = asked ? waitAfter(ended, wasWatch) : pushedWaitAfter(ended, wasWatch);
         Log.line("discovery", "the next call is due in " + wait + " ms");
         attemptIn(wait);
         if (asked) {
@@ -243,14 +245,30 @@
         }
     }
 
-    private long waitAfter(boolean wasWatch, boolean silent) {
-        long since = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - triedAt);
-        if (wasWatch && silent) {
-            return asked ? pacing.afterSilence() : 0; // late enough as it is
+    private long waitAfter(DiscoveryWatch ended, boolean wasWatch) {
+        if (ended.isAnswered()) {
+            pacing.answered(ended.answerMillis());
+        }
+        if (ended.isBroken()) {
+            return pacing.afterBrokenAnswer();
+        } else if (wasWatch && ended.ending() == Ending.SILENT) {
+            return pacing.afterSilence();
         } else if (wasWatch) {
-            return asked ? pacing.afterEnd() : pushedBackoff.next();
+            return pacing.afterEnd(ended.ending() == Ending.CLOSED);
+        }
+        return pacing.afterFailure(sinceAttempt(), ended.ending() == Ending.REFUSED);
+    }
+
+    private long pushedWaitAfter(DiscoveryWatch ended, boolean wasWatch) {
+        if (wasWatch) {
+            // A silence is late enough as it is.
+            return ended.ending() == Ending.SILENT ? 0 : pushedBackoff.next();
         }
-        return asked ? pacing.afterFailure(since) : DiscoveryTimeouts.after(since, pushedBackoff.next());
+        return DiscoveryTimeouts.after(sinceAttempt(), pushedBackoff.next());
+    }
+
+    private long sinceAttempt() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - triedAt);
     }
 
     /** One that lags behind catches up; else another one is asked, and in the end the whole list. */
@@ -268,17 +286,21 @@
     /** The first that speaks is the watch, and those beside it are not needed any more. */
     private boolean takes(DiscoveryWatch by) {
         confirmedAt = System.nanoTime();
-        if (by == watch) {
+        if (by == watch && trying.isEmpty()) {
             return false;
         }
-        Log.line("discovery", by.describe() + ", is answered");
-        trying.remove(by);
+        boolean isNew = by != watch;
+        if (isNew) {
+            Log.line("discovery", by.describe() + ", is answered");
+            pacing.answered(by.answerMillis());
+            trying.remove(by);
+        }
         trying.forEach(call -> abandon(call, "another one was answered"));
         trying.clear();
         dropStandby();
         watch = by;
         round++;
-        return true;
+        return isNew;
     }
 
     @Override
--- a/proxy/src/main/java/dockrelay/proxy/DiscoveryWatch.java
+++ b/proxy/src/main/java/dockrelay/proxy/DiscoveryWatch.java
@@ -47,8 +47,20 @@
         /** One object, however it is laid out, with its entries as they were read. */
         void said(DiscoveryWatch watch, ListParser.Update update);
 
-        /** It is over, once; silent if it only ceased to speak. */
-        void over(DiscoveryWatch watch, String why, boolean silent);
+        /** It is over, once. */
+        void over(DiscoveryWatch watch, String why);
+    }
+
+    /** How a call or a watch ended. */
+    enum Ending {
+        /** By discovery, in good order. */
+        CLOSED,
+        /** By a reset, or it never came up. */
+        BROKEN_CONNECTION,
+        /** The call was answered by an error. */
+        REFUSED,
+        /** It only ceased to speak. */
+        SILENT
     }
 
     private final Listener listener;
@@ -59,11 +71,15 @@
     private long answeredAt; // 0 until the head of a good answer has come
     private long withinSince, movedAt = Long.MIN_VALUE / 2;
     private String why = "connection closed";
-    private boolean silent, over, within; // an object of which more is to come
+    private Ending ending = Ending.CLOSED;
+    private boolean over, within; // an object of which more is to come
+    private boolean spoken; // an object or a heartbeat has come whole
+    private final ListParser parser;
 
     /** Connects, and no more. */
     DiscoveryWatch(Bootstrap template, InetSocketAddress address, Listener listener) {
         this.listener = listener;
+        this.parser = new ListParser(listener::read, this::said);
         this.host = address.getHostString() + ":" + address.getPort();
         ChannelFuture connecting = template.clone()
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DiscoveryTimeouts.CONNECT)
@@ -79,6 +95,7 @@
         channel = connecting.channel();
         connecting.addListener(done -> {
             if (!done.isSuccess()) {
+                ending = Ending.BROKEN_CONNECTION;
                 over(String.valueOf(done.cause().getMessage()));
             } else if (number > 0) {
                 writeCall();
@@ -119,9 +136,17 @@
         return TimeUnit.NANOSECONDS.toMillis(answeredAt - calledAt);
     }
 
-    /** Whether a part of an object has come whose rest has not. */
+    boolean isAnswered() {
+        return answeredAt != 0;
+    }
+
+    Ending ending() {
+        return ending;
+    }
+
+    /** Whether it was cut: in the middle of an object, or of an answer of which nothing else has come. */
     boolean isBroken() {
-        return within;
+        return within || answeredAt != 0 && !spoken;
     }
 
     /** Whether a part of an object that is not whole has come a moment ago. */
@@ -140,10 +165,18 @@
         channel.close();
     }
 
+    private void said(ListParser.Update update) {
+        within = false;
+        spoken = true;
+        if (!over) {
+            listener.said(this, update);
+        }
+    }
+
     private void over(String reason) {
         if (!over) {
             over = true;
-            listener.over(this, reason, silent);
+            listener.over(this, reason);
         }
     }
 
@@ -152,6 +185,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
             if (part instanceof HttpResponse response && response.status().code() != 200) {
+                ending = Ending.REFUSED;
                 why = "answered " + response.status().code();
                 context.close();
                 return;
@@ -169,10 +203,11 @@
                 }
                 context.fireChannelRead(content.content().retain());
                 if (some && blank && !within && !over) {
+                    spoken = true;
                     listener.alive(DiscoveryWatch.this);
                 }
                 if (within && System.nanoTime() - withinSince > SILENT_NANOS) {
-                    silent = true; // it may send blanks for ever, and they count for nothing in there
+                    ending = Ending.SILENT; // it may send blanks for ever, and they count for nothing in there
                     why = "half an object for " + DiscoveryTimeouts.SILENT + " ms";
                     context.close();
                 }
@@ -188,16 +223,8 @@
     }
 
     private final class Objects extends SimpleChannelInboundHandler<ByteBuf> {
-        private final ListParser parser = new ListParser(entry -> listener.read(entry), this::said);
         private final byte[] bytes = new byte[LONGEST_READ];
 
-        private void said(ListParser.Update update) {
-            within = false;
-            if (!over) {
-                listener.said(DiscoveryWatch.this, update);
-            }
-        }
-
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf part) throws IOException {
             long before = parser.read();
@@ -218,7 +245,8 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            silent = cause instanceof ReadTimeoutException;
+            boolean silent = cause instanceof ReadTimeoutException;
+            ending = silent ? Ending.SILENT : Ending.BROKEN_CONNECTION;
             why = silent ? "silent for " + DiscoveryTimeouts.SILENT + " ms" : cause.toString();
             context.close();
         }
--- a/proxy/src/test/java/dockrelay/proxy/BrokenAnswerTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/BrokenAnswerTest.java
@@ -58,11 +58,11 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"CLOSE,0", "RESET,0", "CLOSE,1"})
-    void proxiesHaveTheListWithinTheGraceOfADrain(End end, int furtherAnswers) throws Exception {
+    @CsvSource({"CLOSE,0.5,0", "RESET,0.5,0", "CLOSE,0.5,1", "CLOSE,0,0", "RESET,0,0"})
+    void proxiesHaveTheListWithinTheGraceOfADrain(End end, double part, int furtherAnswers) throws Exception {
         startAll();
         String removal = DiscoveryFake.list(2, false, Fakes.entry("s-removed", removed.port(), "left"));
-        discovery.cutAll(removal, end, furtherAnswers);
+        discovery.cutAll(removal, (int) (removal.length() * part), end, furtherAnswers);
         long cutAt = System.nanoTime();
         long stopped = cutAt + TimeUnit.MILLISECONDS.toNanos(GRACE_MILLIS + SLACK_MILLIS);
         List<RequestLoop> clients = new ArrayList<>();
--- a/proxy/src/test/java/dockrelay/proxy/CallPacingTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/CallPacingTest.java
@@ -3,202 +3,186 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.Deque;
-import java.util.List;
-import java.util.PriorityQueue;
-import java.util.SplittableRandom;
+import dockrelay.proxy.DiscoveryModel.Away;
+import dockrelay.proxy.DiscoveryModel.Scenario;
+import dockrelay.proxy.DiscoveryModel.Trigger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
-/**
- * The calls of a whole fleet on a virtual clock, to a discovery that serves one call after another, also
- * those that have failed by then for having waited too long. Times are in milliseconds.
- */
+/** The calls of whole fleets on a virtual clock. Times are in milliseconds. */
 class CallPacingTest {
-    private static final long ASK_WITHIN = 10_000, MAX_WAIT = 2_000, GRACE = 1_500;
+    private static final long ASK_WITHIN = 10_000, GRACE = 1_500;
     private static final long END = 40_000;
-    private static final int MAX_QUEUE = 60; // what comes on top is refused at once
     private static final int SEEDS = 50;
+    /** One call at discovery, and all of a fleet together at the most. */
+    private static final long CALL_TIME = 200, MAX_WHOLE_FLEET = 3_500;
 
-    /** What makes all proxies, or most of them, call at about the same time. */
-    private enum Trigger {
-        /** Discovery is down for 8 s, and comes back with changes. */
-        OUTAGE(DiscoveryTimeouts.TOLD + GRACE),
-        /** All start within half a second. */
-        START(DiscoveryTimeouts.TOLD + GRACE),
-        /** All watches fall silent within a heartbeat; counted from the silence. */
-        SILENCE(DiscoveryTimeouts.TOLD + GRACE),
-        /** Discovery moves, and all are notified at once. */
-        MOVE(DiscoveryTimeouts.TOLD_MOVED + GRACE);
-
-        final long limit;
-
-        Trigger(long limit) {
-            this.limit = limit;
-        }
-    }
-
-    private record Event(long at, long order, Runnable action) {
+    /** By when the last proxy has to have its list, where nothing was written before. */
+    private static long limit(Trigger trigger) {
+        return (trigger == Trigger.MOVE ? DiscoveryTimeouts.TOLD_MOVED : DiscoveryTimeouts.TOLD) + GRACE;
     }
 
-    /** One proxy's calls, as {@link Discovery} makes them. */
-    private final class Caller {
-        final CallPacing pacing;
-        final List<boolean[]> open = new ArrayList<>(); // calls that wait; set once they have failed
-        long beganAt, answeredAt = -1;
-        int round;
-
-        Caller(int fleet, long seed) {
-            pacing = new CallPacing(fleet, ASK_WITHIN, seed);
-        }
-
-        void callIn(long wait) {
-            int mine = ++round;
-            after(wait, () -> {
-                if (mine == round && answeredAt < 0) {
-                    call();
-                }
-            });
+    private static void assertInTime(Scenario scenario, long limit) {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            long last = new DiscoveryModel(scenario, seed).play(END).lastAnswer();
+            assertTrue(last <= limit, scenario + ", seed " + seed + ": the last list after " + last + " ms");
         }
+    }
 
-        private void call() {
-            beganAt = now;
-            boolean[] over = new boolean[1];
-            open.add(over);
-            after(MAX_WAIT, () -> fail(over));
-            callIn(pacing.whileUnanswered());
-            if (now >= downUntil && queue.size() > MAX_QUEUE) {
-                after(1, () -> fail(over));
-            } else if (now >= downUntil) {
-                queue.add(() -> answer(over));
-                serve();
-            }
-        }
+    /** With discovery that could serve the whole fleet in this time, if each proxy called once. */
+    @ParameterizedTest
+    @CsvSource({"OUTAGE,24,4000", "OUTAGE,100,5000", "START,24,4000", "START,100,5000", "SILENCE,24,4000",
+        "SILENCE,100,5000", "MOVE,24,4000", "MOVE,100,5000", "START_MOST,24,4000", "START_MOST,100,5000",
+        "RESET,24,4000", "RESET,100,5000", "CLOSED,24,4000", "CLOSED,100,4000", "OUTAGE_CLOSED,24,4000",
+        "OUTAGE_CLOSED,100,5000", "OUTAGE,50,5000", "START,50,5000", "SILENCE,50,5000",
+        "MOVE,50,5000", "OUTAGE,16,3200", "START,16,3200", "RESET,16,3200", "OUTAGE,8,1600", "START,8,1600",
+        "OUTAGE,1,200", "START,1,200", "SILENCE,1,200", "MOVE,1,200", "RESET,1,200"})
+    void allOfAFleetHaveTheListInTime(Trigger trigger, int fleet, long wholeFleet) {
+        assertInTime(new Scenario(trigger, fleet, wholeFleet), limit(trigger));
+    }
 
-        private void fail(boolean[] call) {
-            if (!call[0] && answeredAt < 0) {
-                call[0] = true;
-                open.remove(call);
-                if (open.isEmpty()) {
-                    callIn(pacing.afterFailure(now - beganAt));
+    /** However long it was down, and whether calls were refused or left waiting meanwhile. */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 1_000, 2_000, 4_000, 8_000, 12_000, 15_000, 20_000, 25_000, 30_000})
+    void afterAnOutageAllHaveTheListInTime(long outage) {
+        for (Away away : Away.values()) {
+            for (int fleet : new int[] {1, 8, 9, 24, 50, 100}) {
+                long wholeFleet = Math.min(MAX_WHOLE_FLEET, CALL_TIME * fleet);
+                for (Trigger trigger : new Trigger[] {Trigger.OUTAGE, Trigger.OUTAGE_CLOSED}) {
+                    assertInTime(new Scenario(trigger, fleet, wholeFleet).withOutage(outage, away),
+                        limit(trigger));
                 }
             }
         }
+    }
 
-        private void answer(boolean[] call) {
-            if (!call[0] && answeredAt < 0) {
-                answeredAt = now;
-            }
+    /** What was written before the cut counts at once. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2})
+    void aProxyWhoseAnswersAreCutHasTheNextOneWithinTheGrace(int furtherCuts) {
+        for (int fleet : new int[] {1, 2, 8, 9, 16, 24, 50, 100}) {
+            Scenario scenario = new Scenario(Trigger.CUT_ONE, fleet, Math.min(5_000, CALL_TIME * fleet));
+            assertInTime(scenario.withCutAnswers(furtherCuts), GRACE);
         }
     }
 
-    private final PriorityQueue<Event> events = new PriorityQueue<>(
-        Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
-    private final Deque<Runnable> queue = new ArrayDeque<>();
-    private long now, order, downUntil, callTime;
-    private boolean serving;
-
-    private void after(long wait, Runnable action) {
-        events.add(new Event(now + wait, order++, action));
+    @ParameterizedTest
+    @ValueSource(ints = {1, 8, 16, 24, 50, 100})
+    void aFleetWhoseAnswersAreAllCutHasTheNextOnesWithinTheGraceOfAFastDiscovery(int fleet) {
+        assertInTime(new Scenario(Trigger.CUT, fleet, 1_300).withQueue(fleet), GRACE);
+        assertInTime(new Scenario(Trigger.CUT, fleet, 600).withQueue(fleet), GRACE);
+        assertInTime(new Scenario(Trigger.CLOSED, fleet, 1_000), GRACE);
+        assertInTime(new Scenario(Trigger.CUT, fleet, 600).withQueue(fleet).withCutAnswers(1), GRACE);
+        assertInTime(new Scenario(Trigger.RESET, fleet, 1_300), GRACE);
     }
 
-    /** One call at a time, each for as long as any other. */
-    private void serve() {
-        if (!serving && !queue.isEmpty()) {
-            serving = true;
-            Runnable answer = queue.poll();
-            after(callTime, () -> {
-                serving = false;
-                answer.run();
-                serve();
-            });
+    /** It is there, and may have had more to say. */
+    @Test
+    void aProxyWhoseWatchIsClosedHasTheNextListWithinTheGrace() {
+        for (int fleet : new int[] {1, 2, 8, 9, 16, 24, 50, 100}) {
+            assertInTime(new Scenario(Trigger.CLOSED_ONE, fleet, Math.min(5_000, CALL_TIME * fleet)), GRACE);
         }
     }
 
-    /** How long after the trigger, or after discovery's return, the last proxy has its list. */
-    private long lastAnswer(int fleet, Trigger trigger, long wholeFleet, long seed) {
-        events.clear();
-        queue.clear();
-        now = order = 0;
-        serving = false;
-        callTime = wholeFleet / fleet;
-        downUntil = trigger == Trigger.OUTAGE ? 8_000 : 0;
-        SplittableRandom random = new SplittableRandom(seed);
-        List<Caller> callers = new ArrayList<>();
-        for (int i = 0; i < fleet; i++) {
-            Caller caller = new Caller(fleet, random.nextLong());
-            callers.add(caller);
-            caller.callIn(switch (trigger) {
-                case OUTAGE -> caller.pacing.afterEnd();
-                case START -> random.nextLong(500)
-                    + caller.pacing.firstCall();
-                case SILENCE -> DiscoveryTimeouts.SILENT - random.nextLong(DiscoveryTimeouts.HEARTBEAT)
-                    + caller.pacing.afterSilence();
-                case MOVE -> caller.pacing.afterMove();
-            });
-        }
-        while (!events.isEmpty() && events.peek().at < END) {
-            Event event = events.poll();
-            now = event.at;
-            event.action.run();
-        }
-        long last = 0;
-        for (Caller caller : callers) {
-            last = Math.max(last, caller.answeredAt < 0 ? END : caller.answeredAt);
-        }
-        return last - downUntil;
+    /** A slow discovery cannot serve all at once, but serves them in the end. */
+    @ParameterizedTest
+    @ValueSource(ints = {16, 24, 50, 100})
+    void aFleetWhoseAnswersAreAllCutDoesNotOverrunASlowDiscovery(int fleet) {
+        long wholeFleet = Math.min(4_000, CALL_TIME * fleet);
+        assertInTime(new Scenario(Trigger.CUT, fleet, wholeFleet), limit(Trigger.CUT));
     }
 
-    /** With discovery that could serve the whole fleet in this time, if each proxy called once. */
-    @ParameterizedTest
-    @CsvSource({"OUTAGE,24,4000", "OUTAGE,100,5000", "START,24,4000", "START,100,5000", "SILENCE,24,4000",
-        "SILENCE,100,5000", "MOVE,24,4000", "MOVE,100,5000"})
-    void allOfAFleetHaveTheListInTime(Trigger trigger, int fleet, long wholeFleet) {
-        for (long seed = 1; seed <= SEEDS; seed++) {
-            long last = lastAnswer(fleet, trigger, wholeFleet, seed);
-            assertTrue(last <= trigger.limit, "seed " + seed + ": the last list after " + last + " ms");
+    /** A few that start are no crowd: they have room beside all others. */
+    @Test
+    void theProxiesOfARollingRestartCallWithoutMuchDelay() {
+        int fleet = 100, group = 10;
+        long sum = 0;
+        for (int i = 0; i < fleet; i++) {
+            sum += new CallPacing(fleet, i, ASK_WITHIN, i).firstCall();
+        }
+        assertTrue(sum / fleet <= DiscoveryTimeouts.MOST_APART, sum / fleet + " ms in the mean");
+        for (int first = 0; first < fleet; first += group) {
+            long ofGroup = 0;
+            for (int i = first; i < first + group; i++) {
+                ofGroup += new CallPacing(fleet, i, ASK_WITHIN, i).firstCall();
+            }
+            assertTrue(ofGroup / group <= DiscoveryTimeouts.MOST_APART, "group " + first + ": " + ofGroup);
         }
     }
 
     /** A handful of proxies does not wait for an interval. */
     @Test
     void aSmallFleetBacksOffExponentially() {
-        CallPacing pacing = new CallPacing(8, ASK_WITHIN, 3);
+        CallPacing pacing = new CallPacing(8, 0, ASK_WITHIN, 3);
         assertEquals(0, pacing.afterSilence());
         assertEquals(0, pacing.afterMove());
         for (int i = 0; i < 100; i++) {
-            long wait = pacing.afterFailure(0);
+            long wait = pacing.afterFailure(0, true);
             assertTrue(wait <= Math.min(DiscoveryTimeouts.FIRST_APART << Math.min(i, 10),
                 DiscoveryTimeouts.MOST_APART),
                 i + ": " + wait);
         }
-        assertEquals(0, pacing.afterFailure(DiscoveryTimeouts.MOST_APART), "counted from the call's begin");
+        assertEquals(0, pacing.afterFailure(DiscoveryTimeouts.MOST_APART, true), "counted from its begin");
     }
 
     /** A call that is refused by chance now and then is not one of a crowd; many in a row are. */
     @Test
     void aCallThatIsRefusedAtOnceIsRepeatedSoonButNotForEver() {
-        CallPacing pacing = new CallPacing(100, ASK_WITHIN, 3);
+        CallPacing pacing = new CallPacing(100, 0, ASK_WITHIN, 3);
         for (int i = 0; i < CallPacing.MAX_QUICK_REPEATS; i++) {
-            assertTrue(pacing.afterFailure(15) <= DiscoveryTimeouts.FIRST_APART << i);
+            assertTrue(pacing.afterFailure(15, true) <= DiscoveryTimeouts.FIRST_APART << i);
         }
-        assertTrue(pacing.afterFailure(15) >= CallPacing.MAX_INTERVAL / 2);
+        assertTrue(pacing.afterFailure(15, true) >= CallPacing.MAX_FIRST_INTERVAL / 2);
         pacing.reset();
-        assertTrue(pacing.afterFailure(MAX_WAIT) >= CallPacing.MAX_INTERVAL / 2 - MAX_WAIT, "it had waited");
+        assertTrue(pacing.afterFailure(DiscoveryModel.MAX_WAIT, true)
+            >= CallPacing.MAX_FIRST_INTERVAL / 2 - DiscoveryModel.MAX_WAIT, "it had waited");
         pacing.reset();
-        assertTrue(pacing.afterFailure(15) <= DiscoveryTimeouts.FIRST_APART, "counted anew after an answer");
+        assertTrue(pacing.afterFailure(15, true) <= DiscoveryTimeouts.FIRST_APART, "anew after an answer");
+    }
+
+    /** A connection that ends before its time has lost an answer; a refusal has not. */
+    @Test
+    void aCallWhoseConnectionEndsBeforeAnAnswerIsRepeatedAtOnce() {
+        CallPacing pacing = new CallPacing(100, 99, ASK_WITHIN, 3);
+        assertTrue(pacing.afterFailure(1_000, false) <= CallPacing.JITTER);
+        assertTrue(pacing.afterFailure(1_000, true) >= CallPacing.MAX_FIRST_INTERVAL / 2 - 1_000);
+    }
+
+    /** Answers that are always cut must not make a proxy call without end. */
+    @Test
+    void answersThatAreAlwaysCutAreAskedForLessAndLess() {
+        CallPacing pacing = new CallPacing(100, 0, ASK_WITHIN, 3);
+        for (int i = 0; i < 100; i++) {
+            long wait = pacing.afterBrokenAnswer();
+            long bound = Math.min(CallPacing.JITTER << Math.min(i, 10), DiscoveryTimeouts.MOST_APART);
+            assertTrue(wait <= bound, i + ": " + wait);
+        }
+        long sum = 0;
+        for (int i = 0; i < 100; i++) {
+            sum += pacing.afterBrokenAnswer();
+        }
+        assertTrue(sum / 100 > DiscoveryTimeouts.MOST_APART / 4, sum / 100 + " ms in the mean");
     }
 
     /** Settings that want a call sooner than that are kept. */
     @Test
     void noWaitIsMuchLongerThanTheSettingsAllow() {
-        CallPacing pacing = new CallPacing(100, 1_000, 3);
+        CallPacing pacing = new CallPacing(100, 0, 1_000, 3);
         for (int i = 0; i < 100; i++) {
-            assertTrue(pacing.afterEnd() <= 1_000 && pacing.afterFailure(0) <= 1_000);
+            assertTrue(pacing.afterEnd(true) <= 1_000 && pacing.afterEnd(false) <= 1_000 && pacing.afterFailure(0, true) <= 1_000);
+        }
+    }
+
+    /** While calls are answered late or never the interval grows, but not for ever. */
+    @ParameterizedTest
+    @EnumSource(value = Trigger.class, names = {"START", "RESET", "SILENCE", "CUT"})
+    void aFleetThatDiscoveryCannotServeInTimeCallsLessAndLess(Trigger trigger) {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            DiscoveryModel model = new DiscoveryModel(new Scenario(trigger, 100, 10_000), seed).play(120_000);
+            assertTrue(model.lastAnswer() <= 120_000, seed + ": the last list after " + model.lastAnswer());
         }
     }
 }
--- a/proxy/src/test/java/dockrelay/proxy/CuttingDiscovery.java
+++ b/proxy/src/test/java/dockrelay/proxy/CuttingDiscovery.java
@@ -5,6 +5,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
@@ -16,11 +18,13 @@
     private static final int NO_LINGER_SECONDS = 0;
     private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-    /** How a connection ends. */
-    enum End { CLOSE, RESET }
+    /** How a connection ends; one that stalls stays open and silent. */
+    enum End { CLOSE, RESET, STALL }
 
     private final List<Door> doors = new CopyOnWriteArrayList<>();
+    private final Set<Socket> stalled = ConcurrentHashMap.newKeySet();
     private volatile String answer;
+    private volatile int length; // of what is said of an answer that is cut
     private volatile End end;
 
     /** The first thing that it says to each caller. */
@@ -40,11 +44,12 @@
     }
 
     /**
-     * Says half of this on each watch and ends it; so it does with the next answers, as many as given, of
-     * each caller, and then it answers in whole.
+     * Says so many bytes of this on each watch and ends it; so it does with the next answers, as many as
+     * given, of each caller, and then it answers in whole.
      */
-    void cutAll(String change, End how, int furtherAnswers) throws IOException {
+    void cutAll(String change, int bytes, End how, int furtherAnswers) throws IOException {
         end = how;
+        length = bytes;
         answer = change;
         for (Door door : doors) {
             door.answersToCut = furtherAnswers;
@@ -57,8 +62,12 @@
     }
 
     private void cut(Socket connection, String head) throws IOException {
-        String half = answer.substring(0, answer.length() / 2);
-        write(connection, head + Integer.toHexString(half.length()) + "\r\n" + half + "\r\n");
+        String part = answer.substring(0, length);
+        write(connection, head + (length == 0 ? "" : Integer.toHexString(length) + "\r\n" + part + "\r\n"));
+        if (end == End.STALL) {
+            stalled.add(connection);
+            return;
+        }
         if (end == End.RESET) {
             connection.setSoLinger(true, NO_LINGER_SECONDS);
         }
@@ -89,6 +98,9 @@
             if (answersToCut > 0) {
                 answersToCut--;
                 cut(connection, HEAD);
+                while (connection.getInputStream().read() >= 0) {
+                    continue; // until the proxy has enough of it, where it stalls
+                }
                 return;
             }
             write(connection, HEAD + DiscoveryFake.chunk(answer));
@@ -96,6 +108,9 @@
             try {
                 while (true) { // until the watch ends: the write fails then
                     Thread.sleep(HEARTBEAT_MILLIS);
+                    if (stalled.contains(connection)) {
+                        continue;
+                    }
                     write(connection, DiscoveryFake.chunk(""));
                 }
             } catch (InterruptedException e) {
