Call discovery anew when half an object stands still, and not only after its silence

Seen by callers: requests to servers that were gone until 2.5 s of silence were over, where half a change had come. Change: after 0.5 s without a byte in the middle of an object another call begins beside the watch, which goes on if it speaks.

--- a/proxy/src/main/java/dockrelay/proxy/Discovery.java
+++ b/proxy/src/main/java/dockrelay/proxy/Discovery.java
@@ -47,6 +47,7 @@
     private long confirmedAt = System.nanoTime(); // when discovery last sent a change or a heartbeat
     private int calls;
     private int round, behind; // a timer of an earlier round means nothing
+    private boolean callBesideWatch; // is due, as the watch has stopped in the middle of an object
     private boolean following, closed;
 
     Discovery(Bootstrap template, EventLoop loop, Config config, RequestTable table, Operators operators,
@@ -287,8 +288,11 @@
     private boolean takes(DiscoveryWatch by) {
         confirmedAt = System.nanoTime();
         if (by == watch && trying.isEmpty()) {
+            round += callBesideWatch ? 1 : 0; // it goes on, and needs none
+            callBesideWatch = false;
             return false;
         }
+        callBesideWatch = false;
         boolean isNew = by != watch;
         if (isNew) {
             Log.line("discovery", by.describe() + ", is answered");
@@ -298,11 +302,25 @@
         trying.forEach(call -> abandon(call, "another one was answered"));
         trying.clear();
         dropStandby();
+        if (isNew && watch != null) {
+            watch.close(); // it had stopped in the middle of an object
+        }
         watch = by;
         round++;
         return isNew;
     }
 
+    @Override
+    public void stalled(DiscoveryWatch by) {
+        boolean alone = by == watch ? trying.isEmpty() : trying.size() == 1 && trying.contains(by);
+        if (!closed && alone) {
+            long wait = asked ? pacing.afterBrokenAnswer() : pushedBackoff.next();
+            Log.line("discovery", by.describe() + ", has stopped; a call beside it is due in " + wait + " ms");
+            callBesideWatch = by == watch;
+            attemptIn(wait);
+        }
+    }
+
     @Override
     public void alive(DiscoveryWatch by) {
         if (takes(by)) {
--- a/proxy/src/main/java/dockrelay/proxy/DiscoveryTimeouts.java
+++ b/proxy/src/main/java/dockrelay/proxy/DiscoveryTimeouts.java
@@ -19,6 +19,8 @@
     static final int LATENESS = 500;
     /** Without a byte for so long a watch is broken; a half-dead host and half an object are as silent. */
     static final int SILENT = HEARTBEAT + LATENESS;
+    /** Half an object that stands still for so long gets another call beside it. */
+    static final int STALL = LATENESS;
     /** A connection may come up so late. */
     static final int LATE_CONNECTION = 1_000;
     /** One that has not come up by then never will. */
--- a/proxy/src/main/java/dockrelay/proxy/DiscoveryWatch.java
+++ b/proxy/src/main/java/dockrelay/proxy/DiscoveryWatch.java
@@ -34,6 +34,7 @@
 final class DiscoveryWatch {
     private static final int LONGEST_READ = 16 << 10;
     private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(DiscoveryTimeouts.SILENT);
+    private static final long STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(DiscoveryTimeouts.STALL);
     private static final long LATENESS_NANOS = TimeUnit.MILLISECONDS.toNanos(DiscoveryTimeouts.LATENESS);
 
     /** Hears what a watch says, on the event loop. */
@@ -41,6 +42,9 @@
         /** Between two objects: nothing has changed, as far as discovery knows. */
         void alive(DiscoveryWatch watch);
 
+        /** Half an object has come, and nothing more for a while. */
+        void stalled(DiscoveryWatch watch);
+
         /** What is to be kept of one entry, as soon as it has come. */
         Object read(Map<?, ?> entry);
 
@@ -69,11 +73,13 @@
     private int number; // 0 until the call is made
     private long version, calledAt;
     private long answeredAt; // 0 until the head of a good answer has come
+    private long partAt; // when bytes came last
     private long withinSince, movedAt = Long.MIN_VALUE / 2;
     private String why = "connection closed";
     private Ending ending = Ending.CLOSED;
     private boolean over, within; // an object of which more is to come
     private boolean spoken; // an object or a heartbeat has come whole
+    private boolean stallCheckPending;
     private final ListParser parser;
 
     /** Connects, and no more. */
@@ -201,7 +207,11 @@
                     within = true;
                     withinSince = System.nanoTime();
                 }
+                partAt = blank ? partAt : System.nanoTime();
                 context.fireChannelRead(content.content().retain());
+                if (within && !stallCheckPending) {
+                    checkForStallIn(STALL_NANOS);
+                }
                 if (some && blank && !within && !over) {
                     spoken = true;
                     listener.alive(DiscoveryWatch.this);
@@ -218,6 +228,20 @@
         }
     }
 
+    /** Half an object counts as known as soon as it is written, so its rest is not waited for long. */
+    private void checkForStallIn(long nanos) {
+        stallCheckPending = true;
+        channel.eventLoop().schedule(() -> {
+            stallCheckPending = false;
+            long quiet = System.nanoTime() - partAt;
+            if (within && !over && (quiet < STALL_NANOS || !channel.config().isAutoRead())) {
+                checkForStallIn(Math.max(STALL_NANOS - quiet, STALL_NANOS / 2));
+            } else if (within && !over) {
+                listener.stalled(this);
+            }
+        }, nanos, TimeUnit.NANOSECONDS);
+    }
+
     private static boolean isBlank(ByteBuf bytes) {
         return bytes.forEachByte(next -> Character.isWhitespace(next)) < 0;
     }
--- a/proxy/src/test/java/dockrelay/proxy/BrokenAnswerTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/BrokenAnswerTest.java
@@ -58,7 +58,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"CLOSE,0.5,0", "RESET,0.5,0", "CLOSE,0.5,1", "CLOSE,0,0", "RESET,0,0"})
+    @CsvSource({"CLOSE,0.5,0", "RESET,0.5,0", "CLOSE,0.5,1", "CLOSE,0,0", "RESET,0,0", "STALL,0.5,0"})
     void proxiesHaveTheListWithinTheGraceOfADrain(End end, double part, int furtherAnswers) throws Exception {
         startAll();
         String removal = DiscoveryFake.list(2, false, Fakes.entry("s-removed", removed.port(), "left"));
