Put in force at once what a broken answer has said of backends that drain or are gone

Seen by callers: where discovery could not be reached after a broken answer, requests went on to servers that it had named as draining or gone. Cause: entries of an object that did not come whole were dropped with it. Change: those that drain or are gone are applied when the answer breaks, if its version is newer than the list at hand. They only take away; version and all other entries wait for a whole answer.

--- a/proxy/src/main/java/dockrelay/proxy/Discovery.java
+++ b/proxy/src/main/java/dockrelay/proxy/Discovery.java
@@ -234,6 +234,7 @@
         watch = wasWatch ? null : watch;
         if (ended.isBroken()) {
             counters.add(Count.DISCOVERY_BROKEN);
+            applyRemovals(ended.partial());
         }
         if (!trying.isEmpty() && (wasWatch || !ended.isBroken())) {
             return;
@@ -272,6 +273,20 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - triedAt);
     }
 
+    /**
+     * Applies what a broken answer has said of backends that drain or are gone: that only takes away. All
+     * else waits for a whole answer, and so does the version.
+     */
+    private void applyRemovals(ListParser.Update partial) {
+        if (partial == null || partial.version() <= version) {
+            return;
+        }
+        List<Object> removals = partial.entries().stream().filter(EntryReader::isRemoval).toList();
+        if (!removals.isEmpty()) {
+            applier.apply(new ListParser.Update(partial.version(), false, removals));
+        }
+    }
+
     /** One that lags behind catches up; else another one is asked, and in the end the whole list. */
     private void lookAgain() {
         int mine = round;
@@ -357,6 +372,10 @@
 
     @Override
     public void applied(ListParser.Update update) {
+        if (update.version() > version) {
+            Log.line("discovery", "removals of a broken answer, entries " + update.entries().size());
+            return;
+        }
         Log.line("discovery", (update.full() ? "list of version " : "changes to version ") + update.version()
             + ", entries " + update.entries().size());
         listed.countDown();
--- a/proxy/src/main/java/dockrelay/proxy/DiscoveryWatch.java
+++ b/proxy/src/main/java/dockrelay/proxy/DiscoveryWatch.java
@@ -155,6 +155,11 @@
         return within || answeredAt != 0 && !spoken;
     }
 
+    /** What has come of an object that is not whole; null where that says nothing. */
+    ListParser.Update partial() {
+        return parser.partial();
+    }
+
     /** Whether a part of an object that is not whole has come a moment ago. */
     boolean moves() {
         return within && System.nanoTime() - movedAt < LATENESS_NANOS;
--- a/proxy/src/main/java/dockrelay/proxy/EntryReader.java
+++ b/proxy/src/main/java/dockrelay/proxy/EntryReader.java
@@ -26,6 +26,20 @@
         return entry.keySet().containsAll(KEYS);
     }
 
+    /** Whether an entry, as it was read, says that its backend drains or is gone. */
+    static boolean isRemoval(Object entry) {
+        return entry instanceof Member member ? member.backend().phase() != Phase.READY
+            : entry instanceof Map<?, ?> said && phase(said) != Phase.READY;
+    }
+
+    private static Phase phase(Map<?, ?> entry) {
+        return switch (String.valueOf(entry.get("state"))) {
+            case "active" -> Phase.READY;
+            case "left" -> Phase.GONE;
+            default -> Phase.DRAINING; // an unknown word gets the most caution
+        };
+    }
+
     /** What a name's number is by itself: all proxies order the backends by it and must order them alike. */
     static long number(String name) {
         long hash = 0xcbf29ce484222325L; // FNV-1a
@@ -52,13 +66,8 @@
         Backend old = before == null ? new Backend(number, "", "", 0, Phase.GONE, 1, 0) : before.backend();
         String zone = entry.get("zone") instanceof String text ? shared(text) : old.zone();
         String kind = entry.get("kind") instanceof String text ? shared(text) : old.kind();
-        Phase phase = switch (String.valueOf(entry.get("state"))) {
-            case "active" -> Phase.READY;
-            case "left" -> Phase.GONE;
-            default -> Phase.DRAINING; // an unknown word gets the most caution
-        };
         Backend backend = new Backend(old.id(), zone, kind, (long) Config.number(entry, "cell", old.cell()),
-            phase, Config.number(entry, "weight", old.weight()),
+            phase(entry), Config.number(entry, "weight", old.weight()),
             (long) (Config.number(entry, "started_ms", old.startedAt() / 1000.0) * 1000));
         SocketAddress listed = before == null ? null : before.address();
         SocketAddress address = entry.get("addr") instanceof String text ? Endpoint.of(text) : listed;
--- a/proxy/src/main/java/dockrelay/proxy/ListParser.java
+++ b/proxy/src/main/java/dockrelay/proxy/ListParser.java
@@ -22,6 +22,7 @@
     private static final JsonFactory JSON = new JsonFactory();
     /** The key under which a list has its entries. */
     static final String ENTRIES = "servers";
+    private static final String VERSION = "version";
     /** One entry, and what stands between two, is not longer than that. */
     private static final int LONGEST_ENTRY = 1 << 20;
     /** Three times what the operators expect; without a bound a list without end would take all memory. */
@@ -60,6 +61,17 @@
         return read;
     }
 
+    /**
+     * What has come so far of an object that is not whole, as changes; null where there is none, or where its
+     * version has not come.
+     */
+    Update partial() {
+        if (top == null || !(top.get(VERSION) instanceof Number)) {
+            return null;
+        }
+        return new Update((long) Config.number(top, VERSION, -1), false, new ArrayList<>(entries));
+    }
+
     /** Takes the next bytes; false once the taker wants no more. */
     void feed(byte[] bytes, int length) throws IOException {
         since += length;
@@ -89,7 +101,7 @@
         } else if (listing && token == JsonToken.END_ARRAY) {
             listing = false;
         } else if (!listing && token == JsonToken.END_OBJECT) {
-            Update update = new Update((long) Config.number(top, "version", -1),
+            Update update = new Update((long) Config.number(top, VERSION, -1),
                 Boolean.TRUE.equals(top.get("full")), entries);
             top = null;
             entries = null;
--- a/proxy/src/test/java/dockrelay/proxy/DiscoveryWatchTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/DiscoveryWatchTest.java
@@ -127,6 +127,38 @@
         }
     }
 
+    /** What it went on to say is not known, and discovery is away from then on. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", ASKED})
+    void removalsOfABrokenAnswerAreInForceWithoutItsRest(String mode) throws Exception {
+        String both = DiscoveryFake.list(7, true, Fakes.entry("s-1", one.port(), "active"),
+            Fakes.entry("s-2", two.port(), "active"));
+        String change = DiscoveryFake.list(8, false, Fakes.entry("s-1", one.port(), "leaving"),
+            Fakes.entry("s-2", two.port(), "leaving"));
+        int cut = change.indexOf("s-2");
+        DiscoveryFake discovery = new DiscoveryFake();
+        try (discovery) {
+            discovery.first(both);
+            proxy = new Proxy(Fakes.config(0, discovery.port(), 1024, "", mode));
+            awaitServedBy("one");
+            discovery.refuse = true;
+            for (Socket watch : discovery.open) {
+                watch.getOutputStream().write(Odd.chunk(change.substring(0, cut))
+                    .getBytes(StandardCharsets.UTF_8));
+                watch.close();
+            }
+            awaitServedBy("two");
+            int before = one.requests.size();
+            for (int i = 0; i < 20; i++) {
+                awaitServedBy("two");
+            }
+            assertEquals(before, one.requests.size(), "it drains by what was said");
+            discovery.first(DiscoveryFake.list(8, true, Fakes.entry("s-1", one.port(), "active")));
+            discovery.refuse = false;
+            awaitServedBy("one");
+        }
+    }
+
     @Test
     void listsMayBeLaidOutOverSeveralLines() throws Exception {
         String indented = list(7, one).replace(",", ",\n    ").replace("{", "{\n  ") + "\n\n"
