Spread the calls of proxies that find discovery behind what they know

Seen by callers: nothing yet; found when related paths were checked. Cause: an older list made each proxy ask again exactly 6 s later, all of a fleet in one moment, which discovery cannot serve. Change: CallPacing.whileBehind spreads them before the 6 s.

--- a/proxy/src/main/java/dockrelay/proxy/CallPacing.java
+++ b/proxy/src/main/java/dockrelay/proxy/CallPacing.java
@@ -118,6 +118,11 @@
         return shared ? spreadOverFleet(SILENT_PART) : 0;
     }
 
+    /** As long as discovery is behind what it told before; all proxies may have noticed at once. */
+    long whileBehind() {
+        return DiscoveryTimeouts.TOLD - (shared ? spreadOverFleet(SILENT_PART) : 0);
+    }
+
     /** After discovery has moved, of which all proxies are notified at once; the new one may be slower. */
     long afterMove() {
         fastestAnswer = Long.MAX_VALUE;
--- a/proxy/src/main/java/dockrelay/proxy/Discovery.java
+++ b/proxy/src/main/java/dockrelay/proxy/Discovery.java
@@ -296,7 +296,7 @@
                 version = behind < MOST_BEHIND ? version : -1;
                 renew();
             }
-        }, DiscoveryTimeouts.TOLD, TimeUnit.MILLISECONDS);
+        }, asked ? pacing.whileBehind() : DiscoveryTimeouts.TOLD, TimeUnit.MILLISECONDS);
     }
 
     /** The first that speaks is the watch, and those beside it are not needed any more. */
--- a/proxy/src/test/java/dockrelay/proxy/CallPacingTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/CallPacingTest.java
@@ -6,6 +6,7 @@
 import dockrelay.proxy.DiscoveryModel.Away;
 import dockrelay.proxy.DiscoveryModel.Scenario;
 import dockrelay.proxy.DiscoveryModel.Trigger;
+import java.util.Arrays;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -151,6 +152,28 @@
         assertTrue(pacing.afterFailure(1_000, true) >= CallPacing.MAX_FIRST_INTERVAL / 2 - 1_000);
     }
 
+    /** An older list is seen by all who call at once; they do not ask again all at once. */
+    @Test
+    void proxiesThatFindDiscoveryBehindDoNotAskAgainTogether() {
+        int fleet = 100;
+        long callTime = 53;
+        long[] asked = new long[fleet];
+        for (int i = 0; i < fleet; i++) {
+            CallPacing pacing = new CallPacing(fleet, i, ASK_WITHIN, i);
+            pacing.answered(callTime);
+            asked[i] = pacing.whileBehind();
+            assertTrue(asked[i] <= DiscoveryTimeouts.TOLD, "in time: " + asked[i]);
+        }
+        Arrays.sort(asked);
+        long served = 0, longestWait = 0;
+        for (long at : asked) {
+            served = Math.max(served, at) + callTime;
+            longestWait = Math.max(longestWait, served - at);
+        }
+        assertTrue(longestWait < DiscoveryModel.MAX_WAIT, "the longest wait: " + longestWait);
+        assertEquals(DiscoveryTimeouts.TOLD, new CallPacing(8, 0, ASK_WITHIN, 3).whileBehind());
+    }
+
     /** Answers that are always cut must not make a proxy call without end. */
     @Test
     void answersThatAreAlwaysCutAreAskedForLessAndLess() {
