Let ListCrossingTest hold its request as long as a slow machine needs

Cause: the class's deadline of 5 s began before the long lists, and on a slow machine ended before the test let the request go. Change: in this test classes wait 60 s, and so do its requests; no check is changed.

--- a/proxy/src/test/java/dockrelay/proxy/ListCrossingTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/ListCrossingTest.java
@@ -23,6 +23,8 @@
     private static final String SERVED = Fakes.answer("200 OK", "", "served"),
         LATE = Fakes.answer("200 OK", "", "late"),
         HEALTH = "GET /healthz HTTP/1.1\r\nHost: app\r\n\r\n";
+    /** In seconds: the time in which a request may be held, however slow the machine is. */
+    private static final String PATIENCE = "60.0";
     private static final int SOCKETS = 1024, SOME = 4, ROUNDS = 10, LONG = 3_000, LONGER = 20_000;
 
     private final DiscoveryFake discovery = new DiscoveryFake();
@@ -88,7 +90,8 @@
     /** A proxy with one request that the only backend has in hand. */
     private ClientFake held() throws Exception {
         discovery.first(DiscoveryFake.list(1, true, first("active")));
-        proxy = new Proxy(Fakes.config(discovery.port(), SOCKETS),
+        proxy = new Proxy(Fakes.parsed(Fakes.text(0, discovery.port(), SOCKETS, "", "")
+            .replace("\"HardLimit\":5.0", "\"HardLimit\":60.0")),
             new Platform(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), marks, null));
         Fakes.await("healthz 200", () -> {
             try (ClientFake client = new ClientFake(proxy)) {
@@ -98,7 +101,7 @@
             }
         });
         ClientFake waits = new ClientFake(proxy);
-        waits.send(ClientFake.post("put", "9.0"));
+        waits.send(ClientFake.post("put", PATIENCE));
         Fakes.await("it has the request", () -> draining.requests.size() == 1);
         return waits;
     }
@@ -141,7 +144,7 @@
         int before = staying.requests.size() + newest.requests.size();
         List<ClientFake> clients = new ArrayList<>();
         for (int i = 0; i < SOME; i++) {
-            clients.add(new ClientFake(proxy).send(ClientFake.post("put", "9.0")));
+            clients.add(new ClientFake(proxy).send(ClientFake.post("put", PATIENCE)));
         }
         Fakes.await("all are in hand, or turned away", () -> staying.requests.size() + newest.requests.size()
             + draining.requests.size() + clients.stream().filter(ListCrossingTest::answered).count()
