Let calls that have failed keep their place in the lab's discovery

Seen: no experiment of the lab could show a fleet that overruns discovery. Cause: DiscoveryService dropped a call that would wait too long, where the real one serves it all the same. Change: CallQueue, a pure queue of its own: an expired call fails after its wait and still costs its turn.

--- a/lab/src/main/java/dockrelay/lab/world/DiscoveryService.java
+++ b/lab/src/main/java/dockrelay/lab/world/DiscoveryService.java
@@ -71,7 +71,8 @@
     private final RandomGenerator random;
     private final double callCost, lineCost;
     private final Experiment.Discovery spec;
-    private long version = 1, busyUntil, lines;
+    private final CallQueue queue;
+    private long version = 1, lines;
     private boolean down;
 
     DiscoveryService(Experiment.Discovery spec, long seed, int askers, List<Node> nodes, Net net, Clock clock,
@@ -84,6 +85,7 @@
         this.random = Seeds.stream(seed, "discovery");
         this.callCost = spec.callCost().draw(random);
         this.lineCost = spec.lineCost().draw(random);
+        this.queue = new CallQueue(spec.timeout());
         this.shown = new long[askers];
         this.lags = new long[askers];
         for (int i = 0; i < askers; i++) {
@@ -296,14 +298,15 @@
             boolean watch = query.parameters().containsKey("watch");
             long after = watch && query.parameters().containsKey("after")
                 ? Long.parseLong(query.parameters().get("after").get(0)) : 0;
-            long now = clock.now();
-            double cost = callCost + lineCost * views.get(asker).size();
-            if (busyUntil - now > spec.timeout()) {
-                net.later(loop, spec.timeout(), () -> fail(context, HttpResponseStatus.SERVICE_UNAVAILABLE));
-                return;
-            }
-            busyUntil = Math.max(now, busyUntil) + Math.round(cost);
-            net.later(loop, busyUntil - now, () -> answer(context, watch, after));
+            long cost = Math.round(callCost + lineCost * views.get(asker).size());
+            CallQueue.Turn turn = queue.take(clock.now(), cost);
+            net.later(loop, turn.after(), () -> {
+                if (turn.served()) {
+                    answer(context, watch, after);
+                } else {
+                    fail(context, HttpResponseStatus.SERVICE_UNAVAILABLE);
+                }
+            });
         }
 
         private void answer(ChannelHandlerContext context, boolean watch, long after) {
