Count changes as known 6 s after discovery could be reached, in the lab's referee

Seen: a proxy that neither watches nor asks broke no rule in the lab. Cause: the referee counted only what discovery had written as told. Change: a change that still holds counts as told 6 s after it was made, after discovery's return, after the way to it is back, or after the process's start, whichever is last. RefereeProofTest has a proxy that ends its watch and never asks again.

--- a/lab/src/main/java/dockrelay/lab/world/DiscoveryService.java
+++ b/lab/src/main/java/dockrelay/lab/world/DiscoveryService.java
@@ -28,6 +28,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -42,6 +43,10 @@
     private static final long ALIVE_MILLIS = 2_000;
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int LONGEST = 64 << 10;
+    /** What discovery has counts as known so long after it could be reached, whether it was asked or not. */
+    private static final long KNOWN_AFTER = 6_000_000;
+    private static final long UNREACHABLE = Long.MAX_VALUE;
+    private static final long REACHABLE_CHECK = 100_000;
 
     private record Entry(Node node, String state, long startedMillis, long version) {
     }
@@ -72,6 +77,7 @@
     private final double callCost, lineCost;
     private final Experiment.Discovery spec;
     private final CallQueue queue;
+    private final long[] reachableSince; // by each proxy; UNREACHABLE while it is not
     private long version = 1, lines;
     private boolean down;
 
@@ -86,6 +92,7 @@
         this.callCost = spec.callCost().draw(random);
         this.lineCost = spec.lineCost().draw(random);
         this.queue = new CallQueue(spec.timeout());
+        this.reachableSince = new long[askers];
         this.shown = new long[askers];
         this.lags = new long[askers];
         for (int i = 0; i < askers; i++) {
@@ -118,6 +125,7 @@
             listeners.forEach(listener -> listener.state(Listener.State.REFUSING));
             listeners.clear();
             listeners.addAll(next);
+            Arrays.fill(reachableSince, down ? UNREACHABLE : clock.now());
             new ArrayList<>(open).forEach(Channel::close);
         }).syncUninterruptibly();
     }
@@ -127,6 +135,30 @@
             listeners.get(i).state(net.links().connects("n" + i, NAME) ? Listener.State.TAKING
                 : Listener.State.DARK);
         }
+        noteReachable();
+    }
+
+    private void noteReachable() {
+        for (int i = 0; i < reachableSince.length; i++) {
+            boolean reachable = !down && net.links().connects("n" + i, NAME);
+            long since = reachableSince[i] == UNREACHABLE ? clock.now() : reachableSince[i];
+            reachableSince[i] = reachable ? since : UNREACHABLE;
+        }
+    }
+
+    /** Counts a change as known, if it still holds, once the proxy could have asked for it long enough. */
+    private void countAsKnown(int asker, Entry entry, long changedAt) {
+        if (views.get(asker).get(entry.node.plan().index()) != entry) {
+            return;
+        }
+        boolean reachable = reachableSince[asker] != UNREACHABLE;
+        long due = reachable ? Math.max(changedAt, reachableSince[asker]) + KNOWN_AFTER - clock.now()
+            : REACHABLE_CHECK;
+        if (reachable && due <= 0) {
+            told(List.of(entry), asker);
+        } else {
+            later(due, () -> countAsKnown(asker, entry, changedAt));
+        }
     }
 
     InetSocketAddress address(int asker) {
@@ -175,6 +207,7 @@
     private void show(int asker, Entry entry) {
         views.get(asker).set(entry.node.plan().index(), entry);
         shown[asker] = entry.version;
+        countAsKnown(asker, entry, clock.now());
         for (Watch watch : new ArrayList<>(watches)) {
             if (watch.asker == asker) {
                 write(watch, views.get(asker).stream().filter(one -> one.version > watch.version).toList(),
@@ -217,6 +250,7 @@
         List<Entry> all = present(asker);
         if (told) {
             told(all, asker);
+            reachableSince[asker] = reachableSince[asker] == UNREACHABLE ? UNREACHABLE : clock.now();
         }
         return list(all, true, asker);
     }
@@ -245,6 +279,7 @@
     /** Down: calls fail, watches end; news stays for whoever asks later. */
     void outage(boolean on) {
         down = on;
+        noteReachable();
         if (on) {
             new ArrayList<>(open).forEach(Channel::close);
         }
--- a/lab/src/test/java/dockrelay/lab/RefereeProofTest.java
+++ b/lab/src/test/java/dockrelay/lab/RefereeProofTest.java
@@ -37,6 +37,7 @@
         PROOFS.put("refusal", Set.of(Rule.REFUSAL));
         PROOFS.put("attempts", Set.of(Rule.ATTEMPTS));
         PROOFS.put("drain", Set.of(Rule.DRAIN));
+        PROOFS.put("unasked", Set.of(Rule.DRAIN));
         PROOFS.put("cold", Set.of(Rule.COLD));
         PROOFS.put("budget", Set.of(Rule.BUDGET));
         PROOFS.put("memory", Set.of(Rule.MEMORY));
@@ -49,9 +50,10 @@
     Path folder;
 
     private Set<Rule> broken(String fault) throws Exception {
+        boolean known = fault.equals("unasked"); // a change counts as known 6 s later
         Path file = Files.writeString(folder.resolve(fault + ".toml"), """
             shows = "a proxy that does one thing wrong"
-            length = "5s"
+            length = "%s"
             [proxies]
             count = 1
             memory = "%s"
@@ -77,15 +79,15 @@
             [[fault]]
             kind = "drain"
             at = "1s"
-            lasts = "3s"
+            lasts = "%s"
             victims = ["s-2"]
             [[fault]]
             kind = "crash"
             at = "600ms"
             lasts = "600ms"
             victims = ["s-1"]
-            """.formatted(fault.equals("memory") ? "300MiB" : "1GiB", fault.equals("cold") ? 0.3 : 1,
-            fault.equals("cold") ? 0.8 : 0.45, fault.equals("budget") ? 2 : 0));
+            """.formatted(known ? "9s" : "5s", fault.equals("memory") ? "300MiB" : "1GiB", fault.equals("cold") ? 0.3 : 1,
+            fault.equals("cold") ? 0.8 : 0.45, fault.equals("budget") ? 2 : 0, known ? "8s" : "3s"));
         Path root = Files.createDirectories(folder.resolve("build-" + fault));
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         // Compiled once, quickly: it lives for seconds, and compiling was most of what it wanted cores for.
--- a/lab/src/test/java/dockrelay/lab/StandIn.java
+++ b/lab/src/test/java/dockrelay/lab/StandIn.java
@@ -85,7 +85,10 @@
                     client.send(HttpRequest.newBuilder(URI.create("http://"
                     + System.getenv("PROXY_DISCOVERY") + "/v1/servers?watch=1&after=0")).build(),
                     HttpResponse.BodyHandlers.ofLines());
-                response.body().filter(line -> !line.isBlank()).forEach(this::line);
+                try (Stream<String> body = response.body()) { // its end ends the watch
+                    Stream<String> lines = body.filter(line -> !line.isBlank());
+                    (fault.equals("unasked") ? lines.limit(1) : lines).forEach(this::line);
+                }
             } catch (IOException | InterruptedException e) {
                 e.printStackTrace();
             }
