--- a/proxy/src/main/java/dockrelay/proxy/CallPacing.java
+++ b/proxy/src/main/java/dockrelay/proxy/CallPacing.java
@@ -32,10 +32,10 @@
     /** An outage lets calls wait as well, and must not make its end late: so many failures do not count. */
     static final int FAILURES_BEFORE_GROWTH = 4;
     /** Parts of the first interval over which calls spread at the most, by why they are made. */
-    private static final double START_PART = 1, RESET_PART = 0.7, CLOSED_PART = 0.25, SILENT_PART = 0.75,
+    private static final double START_PART = 0.88, RESET_PART = 0.7, CLOSED_PART = 0.25, SILENT_PART = 0.75,
         MOVED_PART = 0.7;
-    /** So many of the proxies that start call at once: the queue has room for some, and a few are no crowd. */
-    private static final double PROMPT_SHARE = 0.2;
+    /** This share of starting proxies calls at once: the queue has room for some, and a few are no crowd. */
+    private static final double PROMPT_SHARE = 0.25;
     private static final long PROMPT = 250;
     /** Repeats come after one part of an interval at the least, and after the other at the most. */
     private static final double MIN_REPEAT_PART = 0.7, MAX_REPEAT_PART = 1.2;
