Take a second lost connection in a row for a wait in vain

Seen by callers: nothing yet; found when the mend was read once more. Cause: a call whose connection ended within 1.8 s was taken for a lost answer each time; where discovery resets calls that have waited too long, a fleet would have called within 2 s without end. Change: the first is repeated at once, the next ones wait for an interval, until a call is answered.

--- a/proxy/src/main/java/dockrelay/proxy/CallPacing.java
+++ b/proxy/src/main/java/dockrelay/proxy/CallPacing.java
@@ -62,6 +62,7 @@
     private long fastestAnswer = Long.MAX_VALUE;
     private int waitedInVain; // calls in a row
     private int refusals; // at once, in a row
+    private boolean answerLost; // of the call before, by the end of its connection
 
     /**
      * For the so manieth of a fleet of so many; no first interval is longer than the time within which the
@@ -143,7 +144,8 @@
      */
     long afterFailure(long sinceStart, boolean refusal) {
         boolean atOnce = sinceStart < REFUSED_WITHIN;
-        if (!refusal && !atOnce && sinceStart < WAITED_OUT) {
+        if (!refusal && !atOnce && sinceStart < WAITED_OUT && !answerLost) {
+            answerLost = true; // the next one says whether that is how discovery fails those that wait
             return afterBrokenAnswer();
         }
         waitedInVain += atOnce && waitedInVain == 0 ? 0 : 1;
@@ -164,6 +166,7 @@
     void answered(long afterMillis) {
         fastestAnswer = Math.min(fastestAnswer, Math.max(1, afterMillis));
         waitedInVain = 0;
+        answerLost = false;
     }
 
     /** An object has come whole. */
--- a/proxy/src/test/java/dockrelay/proxy/CallPacingTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/CallPacingTest.java
@@ -152,6 +152,18 @@
         assertTrue(pacing.afterFailure(1_000, true) >= CallPacing.MAX_FIRST_INTERVAL / 2 - 1_000);
     }
 
+    /** Where discovery resets the calls that have waited too long, a reset is no lost answer. */
+    @Test
+    void callsWhoseConnectionsEndOneAfterAnotherWaitForAnInterval() {
+        CallPacing pacing = new CallPacing(100, 99, ASK_WITHIN, 3);
+        assertTrue(pacing.afterFailure(1_000, false) <= CallPacing.JITTER);
+        for (int i = 0; i < 10; i++) {
+            assertTrue(pacing.afterFailure(1_000, false) >= CallPacing.MAX_FIRST_INTERVAL / 2 - 1_000);
+        }
+        pacing.answered(50);
+        assertTrue(pacing.afterFailure(1_000, false) <= 2 * CallPacing.JITTER, "anew after an answer");
+    }
+
     /** An older list is seen by all who call at once; they do not ask again all at once. */
     @Test
     void proxiesThatFindDiscoveryBehindDoNotAskAgainTogether() {
