--- a/lab/src/main/java/dockrelay/lab/world/CallQueue.java
+++ b/lab/src/main/java/dockrelay/lab/world/CallQueue.java
@@ -1,9 +1,9 @@
 package dockrelay.lab.world;
 
 /**
- * The one queue in which discovery serves its calls, one after another. A call that has waited too long fails,
- * but keeps its place: nobody takes it out, and those behind it wait for it all the same. Times are in
- * microseconds.
+ * The one queue in which discovery serves its calls, one after another. A call that has waited too long
+ * fails, but keeps its place: nobody takes it out, and those behind it wait for it all the same. Times are
+ * in microseconds.
  */
 final class CallQueue {
     private final long maxWait;
--- a/lab/src/test/java/dockrelay/lab/RefereeProofTest.java
+++ b/lab/src/test/java/dockrelay/lab/RefereeProofTest.java
@@ -86,7 +86,8 @@
             at = "600ms"
             lasts = "600ms"
             victims = ["s-1"]
-            """.formatted(known ? "9s" : "5s", fault.equals("memory") ? "300MiB" : "1GiB", fault.equals("cold") ? 0.3 : 1,
+            """.formatted(known ? "9s" : "5s", fault.equals("memory") ? "300MiB" : "1GiB",
+            fault.equals("cold") ? 0.3 : 1,
             fault.equals("cold") ? 0.8 : 0.45, fault.equals("budget") ? 2 : 0, known ? "8s" : "3s"));
         Path root = Files.createDirectories(folder.resolve("build-" + fault));
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
--- a/lab/src/test/java/dockrelay/lab/world/CallQueueTest.java
+++ b/lab/src/test/java/dockrelay/lab/world/CallQueueTest.java
@@ -23,7 +23,8 @@
         for (int i = 0; i < 30; i++) {
             assertEquals(i <= 10, queue.take(0, COST).served(), "call " + i);
         }
-        assertEquals(new CallQueue.Turn(MAX_WAIT, false), queue.take(SECOND, COST), "behind two seconds' calls");
+        CallQueue.Turn behindThem = queue.take(SECOND, COST);
+        assertEquals(new CallQueue.Turn(MAX_WAIT, false), behindThem);
         assertTrue(queue.take(3 * SECOND, COST).served());
     }
 
