Count checks and not time before an answer is taken for stalled

Seen: DiscoveryWatchTest.aLongListIsTakenInWhole failed beside a standing test (load 20): a second call beside a list that moved. Cause: the check went by the clock; a process that is held up for half a second finds the time over before it has read what came. Change: five checks in a row, each a turn of the event loop, with nothing read between them.

--- a/proxy/src/main/java/dockrelay/proxy/DiscoveryWatch.java
+++ b/proxy/src/main/java/dockrelay/proxy/DiscoveryWatch.java
@@ -34,7 +34,8 @@
 final class DiscoveryWatch {
     private static final int LONGEST_READ = 16 << 10;
     private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(DiscoveryTimeouts.SILENT);
-    private static final long STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(DiscoveryTimeouts.STALL);
+    private static final int STALL_CHECKS = 5;
+    private static final int STALL_CHECK_MILLIS = DiscoveryTimeouts.STALL / STALL_CHECKS;
     private static final long LATENESS_NANOS = TimeUnit.MILLISECONDS.toNanos(DiscoveryTimeouts.LATENESS);
 
     /** Hears what a watch says, on the event loop. */
@@ -73,13 +74,12 @@
     private int number; // 0 until the call is made
     private long version, calledAt;
     private long answeredAt; // 0 until the head of a good answer has come
-    private long partAt; // when bytes came last
     private long withinSince, movedAt = Long.MIN_VALUE / 2;
     private String why = "connection closed";
     private Ending ending = Ending.CLOSED;
     private boolean over, within; // an object of which more is to come
     private boolean spoken; // an object or a heartbeat has come whole
-    private boolean stallCheckPending;
+    private boolean checksForStall, readSinceCheck;
     private final ListParser parser;
 
     /** Connects, and no more. */
@@ -212,17 +212,18 @@
                     within = true;
                     withinSince = System.nanoTime();
                 }
-                partAt = blank ? partAt : System.nanoTime();
+                readSinceCheck |= some && !blank;
                 context.fireChannelRead(content.content().retain());
-                if (within && !stallCheckPending) {
-                    checkForStallIn(STALL_NANOS);
+                if (within && !checksForStall) {
+                    checksForStall = true;
+                    checkForStall(0);
                 }
                 if (some && blank && !within && !over) {
                     spoken = true;
                     listener.alive(DiscoveryWatch.this);
                 }
                 if (within && System.nanoTime() - withinSince > SILENT_NANOS) {
-                    ending = Ending.SILENT; // it may send blanks for ever, and they count for nothing in there
+                    ending = Ending.SILENT; // blanks count for nothing in there, however many come
                     why = "half an object for " + DiscoveryTimeouts.SILENT + " ms";
                     context.close();
                 }
@@ -233,18 +234,22 @@
         }
     }
 
-    /** Half an object counts as known as soon as it is written, so its rest is not waited for long. */
-    private void checkForStallIn(long nanos) {
-        stallCheckPending = true;
+    /**
+     * Half an object counts as known as soon as it is written, so its rest is not waited for long. Checks are
+     * counted, and not time: where this process itself was held up it had no chance to read what had come.
+     */
+    private void checkForStall(int quietChecks) {
         channel.eventLoop().schedule(() -> {
-            stallCheckPending = false;
-            long quiet = System.nanoTime() - partAt;
-            if (within && !over && (quiet < STALL_NANOS || !channel.config().isAutoRead())) {
-                checkForStallIn(Math.max(STALL_NANOS - quiet, STALL_NANOS / 2));
-            } else if (within && !over) {
+            boolean quiet = !readSinceCheck && channel.config().isAutoRead();
+            readSinceCheck = false;
+            checksForStall = within && !over;
+            if (checksForStall && quiet && quietChecks + 1 == STALL_CHECKS) {
                 listener.stalled(this);
             }
-        }, nanos, TimeUnit.NANOSECONDS);
+            if (checksForStall) {
+                checkForStall(quiet ? quietChecks + 1 : 0);
+            }
+        }, STALL_CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private static boolean isBlank(ByteBuf bytes) {
