Tell removals of broken answers apart by identity, not by version

Cause: after a move versions start anew, and a list that waited to be applied was logged as the removals of a broken answer and did not count as the first list. Change: Discovery keeps which updates hold removals only; long lines wrapped.

--- a/proxy/src/main/java/dockrelay/proxy/CallPacing.java
+++ b/proxy/src/main/java/dockrelay/proxy/CallPacing.java
@@ -107,8 +107,8 @@
     }
 
     /**
-     * After a watch has ended between two objects. Where discovery closed it in good order it is there, and may
-     * have had more to say; where it was reset discovery may be away, and the watches of all proxies with it.
+     * After a watch has ended between two objects. Where discovery closed it in good order it is there, and
+     * may have had more to say; where it was reset discovery may be away, and all other watches with it.
      */
     long afterEnd(boolean closed) {
         return shared ? spreadOverFleet(closed ? CLOSED_PART : RESET_PART) : broken.next();
@@ -159,7 +159,8 @@
         int growing = Math.max(0, waitedInVain - FAILURES_BEFORE_GROWTH);
         double grown = firstInterval * Math.min(MAX_GROWTH, Math.pow(GROWTH, growing));
         long interval = neededByFleet() <= DiscoveryTimeouts.TOLD ? firstInterval : (long) grown;
-        return (long) (interval * (MIN_REPEAT_PART + (MAX_REPEAT_PART - MIN_REPEAT_PART) * place(repeatSlot)));
+        double part = MIN_REPEAT_PART + (MAX_REPEAT_PART - MIN_REPEAT_PART) * place(repeatSlot);
+        return (long) (interval * part);
     }
 
     /** The answer to a call has begun, so long after it. */
--- a/proxy/src/main/java/dockrelay/proxy/Discovery.java
+++ b/proxy/src/main/java/dockrelay/proxy/Discovery.java
@@ -7,8 +7,11 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -40,6 +43,8 @@
     private final Backoff pushedBackoff; // where lists are pushed, by an agent of this host's own
     private final CountDownLatch listed = new CountDownLatch(1);
     private final List<DiscoveryWatch> trying = new ArrayList<>();
+    /** Of broken answers, that are not applied yet. */
+    private final Set<ListParser.Update> removalsOnly = Collections.newSetFromMap(new IdentityHashMap<>());
     private DiscoveryWatch watch; // the one that has spoken; null while there is none
     private DiscoveryWatch standby; // connected for the next call; null while there is none
     private DiscoveryWatch heard; // whose first object has come
@@ -283,7 +288,9 @@
         }
         List<Object> removals = partial.entries().stream().filter(EntryReader::isRemoval).toList();
         if (!removals.isEmpty()) {
-            applier.apply(new ListParser.Update(partial.version(), false, removals));
+            ListParser.Update update = new ListParser.Update(partial.version(), false, removals);
+            removalsOnly.add(update);
+            applier.apply(update);
         }
     }
 
@@ -330,7 +337,7 @@
         boolean alone = by == watch ? trying.isEmpty() : trying.size() == 1 && trying.contains(by);
         if (!closed && alone) {
             long wait = asked ? pacing.afterBrokenAnswer() : pushedBackoff.next();
-            Log.line("discovery", by.describe() + ", has stopped; a call beside it is due in " + wait + " ms");
+            Log.line("discovery", by.describe() + ", has stopped; the next call is due in " + wait + " ms");
             callBesideWatch = by == watch;
             attemptIn(wait);
         }
@@ -372,7 +379,7 @@
 
     @Override
     public void applied(ListParser.Update update) {
-        if (update.version() > version) {
+        if (removalsOnly.remove(update)) {
             Log.line("discovery", "removals of a broken answer, entries " + update.entries().size());
             return;
         }
