Name what a watch sends and how it ends by the field's words

Need: readable code; alive, said, over, takes and heard become heartbeat, received, ended, adopt and lastSender. Measured: DiscoveryWatchTest passes (15); no behaviour is changed.

--- a/proxy/src/main/java/dockrelay/proxy/Discovery.java
+++ b/proxy/src/main/java/dockrelay/proxy/Discovery.java
@@ -45,9 +45,9 @@
     private final List<DiscoveryWatch> trying = new ArrayList<>();
     /** Of broken answers, that are not applied yet. */
     private final Set<ListParser.Update> removalsOnly = Collections.newSetFromMap(new IdentityHashMap<>());
-    private DiscoveryWatch watch; // the one that has spoken; null while there is none
+    private DiscoveryWatch watch; // the one that has answered; null while there is none
     private DiscoveryWatch standby; // connected for the next call; null while there is none
-    private DiscoveryWatch heard; // whose first object has come
+    private DiscoveryWatch lastSender; // whose first object has come
     private long triedAt;
     private long confirmedAt = System.nanoTime(); // when discovery last sent a change or a heartbeat
     private int calls;
@@ -208,7 +208,7 @@
         }
     }
 
-    /** The next try, unless one speaks before, or is about to: a long list takes its time. */
+    /** The next attempt, unless one is answered before, or is about to: a long list takes its time. */
     private void attemptIn(long millis) {
         int mine = ++round;
         loop.schedule(() -> {
@@ -221,7 +221,7 @@
     }
 
     @Override
-    public void over(DiscoveryWatch ended, String why) {
+    public void ended(DiscoveryWatch ended, String why) {
         if (ended == standby) {
             standby = null; // the next call connects anew
             return;
@@ -306,8 +306,8 @@
         }, asked ? pacing.whileBehind() : DiscoveryTimeouts.TOLD, TimeUnit.MILLISECONDS);
     }
 
-    /** The first that speaks is the watch, and those beside it are not needed any more. */
-    private boolean takes(DiscoveryWatch by) {
+    /** The first that answers is the watch, and those beside it are not needed any more. */
+    private boolean adopt(DiscoveryWatch by) {
         confirmedAt = System.nanoTime();
         if (by == watch && trying.isEmpty()) {
             round += callBesideWatch ? 1 : 0; // it goes on, and needs none
@@ -344,8 +344,8 @@
     }
 
     @Override
-    public void alive(DiscoveryWatch by) {
-        if (takes(by)) {
+    public void heartbeat(DiscoveryWatch by) {
+        if (adopt(by)) {
             Log.line("discovery", "nothing new since version " + version);
         }
     }
@@ -356,21 +356,21 @@
     }
 
     @Override
-    public void said(DiscoveryWatch by, ListParser.Update update) {
-        long told = update.version();
-        takes(by);
-        boolean first = by != heard;
-        heard = by;
-        if (told < version) { // an older word: what is newer stands
+    public void received(DiscoveryWatch by, ListParser.Update update) {
+        long received = update.version();
+        adopt(by);
+        boolean first = by != lastSender;
+        lastSender = by;
+        if (received < version) { // what is newer stands
             if (first) {
-                Log.line("discovery", "version " + told + " is older than " + version + ", which stands");
+                Log.line("discovery", "version " + received + " is older than " + version + ", which stands");
                 lookAgain();
             }
             return;
         }
         behind = 0;
         resetWaits();
-        version = told; // whoever is asked next need not say it again
+        version = received; // whoever is asked next need not send it again
         applier.apply(update);
         if (applier.isFull()) {
             by.flow(false);
--- a/proxy/src/main/java/dockrelay/proxy/DiscoveryWatch.java
+++ b/proxy/src/main/java/dockrelay/proxy/DiscoveryWatch.java
@@ -29,7 +29,7 @@
 /**
  * One watch on the list: a connection, the call made on it, and its answer taken apart into objects. The
  * connection comes up at once, the call is made when it is asked for. Nothing here ends a call that waits for
- * its answer: discovery may be busy with other callers. Once it has spoken it must not fall silent.
+ * its answer: discovery may be busy with other callers. Once it has answered it must not fall silent.
  */
 final class DiscoveryWatch {
     private static final int LONGEST_READ = 16 << 10;
@@ -38,10 +38,10 @@
     private static final int STALL_CHECK_MILLIS = DiscoveryTimeouts.STALL / STALL_CHECKS;
     private static final long LATENESS_NANOS = TimeUnit.MILLISECONDS.toNanos(DiscoveryTimeouts.LATENESS);
 
-    /** Hears what a watch says, on the event loop. */
+    /** Receives what a watch sends, on the event loop. */
     interface Listener {
         /** Between two objects: nothing has changed, as far as discovery knows. */
-        void alive(DiscoveryWatch watch);
+        void heartbeat(DiscoveryWatch watch);
 
         /** Half an object has come, and nothing more for a while. */
         void stalled(DiscoveryWatch watch);
@@ -50,10 +50,10 @@
         Object read(Map<?, ?> entry);
 
         /** One object, however it is laid out, with its entries as they were read. */
-        void said(DiscoveryWatch watch, ListParser.Update update);
+        void received(DiscoveryWatch watch, ListParser.Update update);
 
         /** It is over, once. */
-        void over(DiscoveryWatch watch, String why);
+        void ended(DiscoveryWatch watch, String why);
     }
 
     /** How a call or a watch ended. */
@@ -77,15 +77,16 @@
     private long withinSince, movedAt = Long.MIN_VALUE / 2;
     private String why = "connection closed";
     private Ending ending = Ending.CLOSED;
-    private boolean over, within; // an object of which more is to come
-    private boolean spoken; // an object or a heartbeat has come whole
+    private boolean ended;
+    private boolean within; // an object of which more is to come
+    private boolean complete; // an object or a heartbeat has come whole
     private boolean checksForStall, readSinceCheck;
     private final ListParser parser;
 
     /** Connects, and no more. */
     DiscoveryWatch(Bootstrap template, InetSocketAddress address, Listener listener) {
         this.listener = listener;
-        this.parser = new ListParser(listener::read, this::said);
+        this.parser = new ListParser(listener::read, this::received);
         this.host = address.getHostString() + ":" + address.getPort();
         ChannelFuture connecting = template.clone()
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DiscoveryTimeouts.CONNECT)
@@ -102,7 +103,7 @@
         connecting.addListener(done -> {
             if (!done.isSuccess()) {
                 ending = Ending.BROKEN_CONNECTION;
-                over(String.valueOf(done.cause().getMessage()));
+                end(String.valueOf(done.cause().getMessage()));
             } else if (number > 0) {
                 writeCall();
             }
@@ -152,7 +153,7 @@
 
     /** Whether it was cut: in the middle of an object, or of an answer of which nothing else has come. */
     boolean isBroken() {
-        return within || answeredAt != 0 && !spoken;
+        return within || answeredAt != 0 && !complete;
     }
 
     /** What has come of an object that is not whole; null where that says nothing. */
@@ -170,24 +171,24 @@
         channel.config().setAutoRead(on);
     }
 
-    /** Ends it; nothing more is heard of it. */
+    /** Ends it; the listener receives nothing more of it. */
     void close() {
-        over = true;
+        ended = true;
         channel.close();
     }
 
-    private void said(ListParser.Update update) {
+    private void received(ListParser.Update update) {
         within = false;
-        spoken = true;
-        if (!over) {
-            listener.said(this, update);
+        complete = true;
+        if (!ended) {
+            listener.received(this, update);
         }
     }
 
-    private void over(String reason) {
-        if (!over) {
-            over = true;
-            listener.over(this, reason);
+    private void end(String reason) {
+        if (!ended) {
+            ended = true;
+            listener.ended(this, reason);
         }
     }
 
@@ -206,7 +207,7 @@
                 context.pipeline().addFirst(
                     new ReadTimeoutHandler(DiscoveryTimeouts.SILENT, TimeUnit.MILLISECONDS));
             }
-            if (part instanceof HttpContent content && !over) {
+            if (part instanceof HttpContent content && !ended) {
                 boolean some = content.content().isReadable(), blank = isBlank(content.content());
                 if (some && !blank && !within) {
                     within = true;
@@ -218,9 +219,9 @@
                     checksForStall = true;
                     checkForStall(0);
                 }
-                if (some && blank && !within && !over) {
-                    spoken = true;
-                    listener.alive(DiscoveryWatch.this);
+                if (some && blank && !within && !ended) {
+                    complete = true;
+                    listener.heartbeat(DiscoveryWatch.this);
                 }
                 if (within && System.nanoTime() - withinSince > SILENT_NANOS) {
                     ending = Ending.SILENT; // blanks count for nothing in there, however many come
@@ -242,7 +243,7 @@
         channel.eventLoop().schedule(() -> {
             boolean quiet = !readSinceCheck && channel.config().isAutoRead();
             readSinceCheck = false;
-            checksForStall = within && !over;
+            checksForStall = within && !ended;
             if (checksForStall && quiet && quietChecks + 1 == STALL_CHECKS) {
                 listener.stalled(this);
             }
@@ -262,7 +263,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf part) throws IOException {
             long before = parser.read();
-            while (part.isReadable() && !over) {
+            while (part.isReadable() && !ended) {
                 int length = Math.min(bytes.length, part.readableBytes());
                 part.readBytes(bytes, 0, length);
                 parser.feed(bytes, length);
@@ -274,7 +275,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            over(why);
+            end(why);
         }
 
         @Override
