--- a/proxy/src/main/java/dockrelay/proxy/Discovery.java
+++ b/proxy/src/main/java/dockrelay/proxy/Discovery.java
@@ -47,6 +47,7 @@
     private long confirmedAt = System.nanoTime(); // when discovery last sent a change or a heartbeat
     private int calls;
     private int round, behind; // a timer of an earlier round means nothing
+    private boolean callBesideWatch; // is due, as the watch has stopped in the middle of an object
     private boolean following, closed;
 
     Discovery(Bootstrap template, EventLoop loop, Config config, RequestTable table, Operators operators,
@@ -233,6 +234,7 @@
         watch = wasWatch ? null : watch;
         if (ended.isBroken()) {
             counters.add(Count.DISCOVERY_BROKEN);
+            applyRemovals(ended.partial());
         }
         if (!trying.isEmpty() && (wasWatch || !ended.isBroken())) {
             return;
@@ -271,6 +273,20 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - triedAt);
     }
 
+    /**
+     * Applies what a broken answer has said of backends that drain or are gone: that only takes away. All
+     * else waits for a whole answer, and so does the version.
+     */
+    private void applyRemovals(ListParser.Update partial) {
+        if (partial == null || partial.version() <= version) {
+            return;
+        }
+        List<Object> removals = partial.entries().stream().filter(EntryReader::isRemoval).toList();
+        if (!removals.isEmpty()) {
+            applier.apply(new ListParser.Update(partial.version(), false, removals));
+        }
+    }
+
     /** One that lags behind catches up; else another one is asked, and in the end the whole list. */
     private void lookAgain() {
         int mine = round;
@@ -280,15 +296,18 @@
                 version = behind < MOST_BEHIND ? version : -1;
                 renew();
             }
-        }, DiscoveryTimeouts.TOLD, TimeUnit.MILLISECONDS);
+        }, asked ? pacing.whileBehind() : DiscoveryTimeouts.TOLD, TimeUnit.MILLISECONDS);
     }
 
     /** The first that speaks is the watch, and those beside it are not needed any more. */
     private boolean takes(DiscoveryWatch by) {
         confirmedAt = System.nanoTime();
         if (by == watch && trying.isEmpty()) {
+            round += callBesideWatch ? 1 : 0; // it goes on, and needs none
+            callBesideWatch = false;
             return false;
         }
+        callBesideWatch = false;
         boolean isNew = by != watch;
         if (isNew) {
             Log.line("discovery", by.describe() + ", is answered");
@@ -298,11 +317,25 @@
         trying.forEach(call -> abandon(call, "another one was answered"));
         trying.clear();
         dropStandby();
+        if (isNew && watch != null) {
+            watch.close(); // it had stopped in the middle of an object
+        }
         watch = by;
         round++;
         return isNew;
     }
 
+    @Override
+    public void stalled(DiscoveryWatch by) {
+        boolean alone = by == watch ? trying.isEmpty() : trying.size() == 1 && trying.contains(by);
+        if (!closed && alone) {
+            long wait = asked ? pacing.afterBrokenAnswer() : pushedBackoff.next();
+            Log.line("discovery", by.describe() + ", has stopped; a call beside it is due in " + wait + " ms");
+            callBesideWatch = by == watch;
+            attemptIn(wait);
+        }
+    }
+
     @Override
     public void alive(DiscoveryWatch by) {
         if (takes(by)) {
@@ -339,6 +372,10 @@
 
     @Override
     public void applied(ListParser.Update update) {
+        if (update.version() > version) {
+            Log.line("discovery", "removals of a broken answer, entries " + update.entries().size());
+            return;
+        }
         Log.line("discovery", (update.full() ? "list of version " : "changes to version ") + update.version()
             + ", entries " + update.entries().size());
         listed.countDown();
