Let the one proxy of DiscoveryModel be any of its fleet

Seen: found when the whole change was read once more; the check of a lone proxy whose watch is closed could hardly fail. Cause: the lone proxy had number 0, and so the first slot of all, which calls at once whatever the spread is. Change: its number is drawn; START_ONE, which nothing used, is gone. No bound is changed.

--- a/proxy/src/test/java/dockrelay/proxy/DiscoveryModel.java
+++ b/proxy/src/test/java/dockrelay/proxy/DiscoveryModel.java
@@ -22,8 +22,8 @@
     enum Trigger {
         /** Discovery is down, and comes back with changes; all watches were reset, or closed. */
         OUTAGE, OUTAGE_CLOSED,
-        /** All start within half a second; seven in ten; one alone. */
-        START, START_MOST, START_ONE,
+        /** All start within half a second; seven in ten. */
+        START, START_MOST,
         /** All watches fall silent within a heartbeat; counted from the silence. */
         SILENCE,
         /** Discovery moves, and all are notified at once. */
@@ -187,12 +187,14 @@
         boolean outage = scenario.trigger == Trigger.OUTAGE || scenario.trigger == Trigger.OUTAGE_CLOSED;
         downUntil = outage ? scenario.outage : 0;
         int affected = switch (scenario.trigger) {
-            case START_ONE, CLOSED_ONE, CUT_ONE -> 1;
+            case CLOSED_ONE, CUT_ONE -> 1;
             case START_MOST -> Math.max(1, scenario.fleet * 7 / 10);
             default -> scenario.fleet;
         };
+        // One alone may be any of them: its slot may be the last one.
+        int first = affected == 1 ? random.nextInt(scenario.fleet) : 0;
         for (int i = 0; i < affected; i++) {
-            Caller caller = new Caller(i, random.nextLong());
+            Caller caller = new Caller(first + i, random.nextLong());
             callers.add(caller);
             caller.callIn(firstWait(caller.pacing));
         }
@@ -211,7 +213,7 @@
         return switch (scenario.trigger) {
             case OUTAGE, RESET -> pacing.afterEnd(false);
             case OUTAGE_CLOSED, CLOSED, CLOSED_ONE -> pacing.afterEnd(true);
-            case START, START_MOST, START_ONE -> random.nextLong(START_SPREAD) + firstCall(pacing);
+            case START, START_MOST -> random.nextLong(START_SPREAD) + firstCall(pacing);
             case SILENCE -> DiscoveryTimeouts.SILENT - random.nextLong(DiscoveryTimeouts.HEARTBEAT)
                 + pacing.afterSilence();
             case MOVE -> pacing.afterMove();
