Show that a keyed request runs twice when a backend reads it slowly

One of eight backends reads at 64 kB/s; a long booking is hedged and answered, and the attempt that is given up goes on arriving, as Exchange.end closes its channel without dropping what the kernel has accepted. Nothing is mended.

--- a/review/common/review/Backend.java
+++ b/review/common/review/Backend.java
@@ -1,9 +1,12 @@
 package review;
 
 import java.io.BufferedInputStream;
+import java.io.FilterInputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -22,6 +25,9 @@
         void handle(Backend backend, Message request, OutputStream out) throws Exception;
     }
 
+    /** The receive buffer of a backend that reads slowly, and the bytes that it reads at a time. */
+    private static final int SMALL_BUFFER_BYTES = 4_096, PIECE_BYTES = 2_000;
+
     final String id;
     /** Requests with an id that no client sent. */
     final Queue<String> foreignRequests = new ConcurrentLinkedQueue<>();
@@ -30,13 +36,24 @@
     private final Set<String> sentIds;
     private final Record record;
     private final Handler handler;
+    private final int bytesPerSecond; // 0: reads all at once
 
     Backend(String id, Set<String> sentIds, Record record, Handler handler) throws IOException {
+        this(id, sentIds, record, 0, handler);
+    }
+
+    /** A backend that reads this many bytes a second, or all at once with 0. */
+    Backend(String id, Set<String> sentIds, Record record, int bytesPerSecond, Handler handler) throws IOException {
         this.id = id;
         this.sentIds = sentIds;
         this.record = record;
+        this.bytesPerSecond = bytesPerSecond;
         this.handler = handler;
-        listener = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
+        listener = new ServerSocket();
+        if (bytesPerSecond > 0) {
+            listener.setReceiveBufferSize(SMALL_BUFFER_BYTES); // what is not read yet stays with the sender
+        }
+        listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 512);
         Thread accepter = new Thread(this::accept, "accept-" + id);
         accepter.setDaemon(true);
         accepter.start();
@@ -63,7 +80,8 @@
 
     private void serve(Socket socket) {
         try (socket) {
-            BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
+            BufferedInputStream in = bytesPerSecond == 0 ? new BufferedInputStream(socket.getInputStream())
+                : new BufferedInputStream(slowly(socket.getInputStream()), PIECE_BYTES);
             OutputStream out = socket.getOutputStream();
             for (Message request = read(in); request != null; request = read(in)) {
                 String requestId = request.header("x-request-id");
@@ -88,6 +106,24 @@
         }
     }
 
+    /** Reads in small pieces and pauses after each full one. */
+    private InputStream slowly(InputStream in) {
+        return new FilterInputStream(in) {
+            @Override
+            public int read(byte[] bytes, int offset, int length) throws IOException {
+                int count = super.read(bytes, offset, Math.min(length, PIECE_BYTES));
+                if (count == PIECE_BYTES) {
+                    try {
+                        Thread.sleep(PIECE_BYTES * 1_000L / bytesPerSecond);
+                    } catch (InterruptedException e) {
+                        throw new IOException(e);
+                    }
+                }
+                return count;
+            }
+        };
+    }
+
     /** Reads a request and notes when its first byte came. */
     private Message read(BufferedInputStream in) throws IOException {
         in.mark(1);
