--- a/review/1/SmugglingTest.java
+++ b/review/1/SmugglingTest.java
@@ -90,7 +90,10 @@
                 for (Message answer = new Message(); answer != null && !answer.closes() && !ending;) {
                     String id = Client.newId();
                     client.send(Client.head("GET", Settings.LOOKUP, id, Settings.LOOKUP_DEADLINE, ""));
+                    record.write("a client sends request " + id);
                     answer = client.readAnswer(2_000);
+                    record.write("a client's request " + id + ": "
+                        + (answer == null ? "closed" : answer.startLine + " " + answer.text()));
                     count(id, answer);
                     Thread.sleep(ThreadLocalRandom.current().nextLong(2 * CLIENT_PAUSE_MILLIS));
                 }
--- a/review/2/TwiceRunTest.java
+++ b/review/2/TwiceRunTest.java
@@ -97,6 +97,7 @@
                     int bytes = ThreadLocalRandom.current().nextInt(LONG_ONE_IN) == 0 ? LONG_BYTES : SHORT_BYTES;
                     client.send(Client.head("POST", Settings.BOOKING, id, Settings.BOOKING_DEADLINE, "Content-Length: "
                         + bytes + "\r\n") + "x".repeat(bytes));
+                    record.write("request " + id + " is sent, with " + bytes + " bytes");
                     answer = client.readAnswer(3_000);
                     (answer != null && answer.status() == 200 ? served : notServed).incrementAndGet();
                     record.write("request " + id + " is answered: " + (answer == null ? "closed" : answer.startLine));
