Bring the review's case of requests nobody sent to the site's size and load

It had three backends and 170 requests a second on one proxy, where the site has six to eight and its two proxies 110 together. Now it has six backends, some 54 requests a second and twenty long requests.

--- a/review/1/SmugglingTest.java
+++ b/review/1/SmugglingTest.java
@@ -15,10 +15,10 @@
  * requests. What stands inside a body must not reach a backend as a request, and each client must get its own answers.
  */
 final class SmugglingTest extends Case {
-    private static final int BACKENDS = 3, CLIENTS = 12, LONG_REQUESTS = 10;
+    private static final int BACKENDS = 6, CLIENTS = 6, LONG_REQUESTS = 20;
     /** More than the 64 KiB up to which a body is held whole. */
     private static final int BODY_BYTES = 70_000;
-    private static final long WORK_MILLIS = 50, CLIENT_PAUSE_MILLIS = 20, WARM_UP_MILLIS = 1_500;
+    private static final long WORK_MILLIS = 50, CLIENT_PAUSE_MILLIS = 60, WARM_UP_MILLIS = 1_500;
     private static final long PEER_PAUSE_MILLIS = 300;
     /** The proxy may refuse a request; the peer then sends another one. */
     private static final int TRIES = 5;
