Record each connection in the review's case of half-written heads

The record gave a sum for each wave only. It has six backends now, as the site has, instead of three.

--- a/review/3/HalfHeadsTest.java
+++ b/review/3/HalfHeadsTest.java
@@ -9,7 +9,7 @@
  * requests. The process must live.
  */
 final class HalfHeadsTest extends Case {
-    private static final int WAVES = 3, CONNECTIONS = 330;
+    private static final int WAVES = 3, CONNECTIONS = 330, BACKENDS = 6;
     private static final int HEAD_BYTES = 8_000;
     private static final String PROPER_HEAD = "Accept: */*\r\nUser-Agent: clerk\r\n";
 
@@ -18,7 +18,7 @@
     @Override
     boolean run() throws Exception {
         Discovery discovery = new Discovery(record);
-        for (int i = 0; i < 3; i++) {
+        for (int i = 0; i < BACKENDS; i++) {
             discovery.set(new Backend("s-" + i, Client.SENT_IDS, record, (self, request, out) -> {
                 Thread.sleep(20);
                 record.write(self.id + " ran " + request.startLine);
@@ -62,6 +62,8 @@
                 String text = trouble ? part.toString() : Client.head("GET", Settings.LOOKUP, Client.newId(),
                     Settings.LOOKUP_DEADLINE, PROPER_HEAD);
                 peer.send(text);
+                record.write("connection " + peers.size() + ": " + text.length() + " bytes sent of "
+                    + (trouble ? "a head that does not end" : text.split("\r\n")[0]));
                 sent += text.length();
                 Thread.sleep(1);
             }
@@ -76,6 +78,7 @@
         String id = Client.newId();
         try (Client client = new Client(proxy)) {
             client.send(Client.head("GET", Settings.LOOKUP, id, Settings.LOOKUP_DEADLINE, ""));
+            record.write("request " + id + " is sent");
             readAnswer(id, client);
         } catch (IOException e) {
             record.say("request " + id + ": " + e);
