--- a/review/common-2/src/review2/Backend.java
+++ b/review/common-2/src/review2/Backend.java
@@ -15,7 +15,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 /** A backend as the protocol page describes it: one request at a time on a connection, answered in order. */
-public class Backend {
+public final class Backend {
     /** A request that has arrived with its last byte, with the times of its first and last byte in the rig's milliseconds. */
     public static final class Received {
         public String method, target, id, serviceClass;
@@ -33,8 +33,6 @@
     public final String id;
     public final int port;
     public final Queue<Received> received = new ConcurrentLinkedQueue<>();
-    /** Hangs in the middle of its work: reads the head of a request with a body, and nothing more. */
-    public volatile boolean hangBodies;
     private final Rig rig;
     private final Behaviour behaviour;
 
@@ -96,9 +94,6 @@
                 }
                 request.id = request.headers.get("X-Request-ID");
                 request.serviceClass = request.headers.get("X-Priority-Class");
-                if (hangBodies && !"GET".equals(request.method)) {
-                    Thread.sleep(Long.MAX_VALUE);
-                }
                 readBody(in, request);
                 request.lastByteAt = rig.now();
                 received.add(request);
--- a/review/common-2/src/review2/Discovery.java
+++ b/review/common-2/src/review2/Discovery.java
@@ -12,29 +12,20 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicInteger;
 
-/** Discovery as the protocol page describes it: whole lists, watches with empty lines every 2 s, one call after another. */
+/** Discovery as the protocol page describes it: whole lists, and watches with empty lines every 2 s. */
 public final class Discovery {
     private static final long HEARTBEAT_MILLIS = 2_000;
-    /** The time between two pieces of a list that is written slowly. */
-    private static final long PIECE_MILLIS = 100;
 
     private final Rig rig;
     public final int port;
-    private final ServerSocket listener;
-    private final AtomicInteger calls = new AtomicInteger();
     private final Map<String, Backend> backends = new LinkedHashMap<>();
     private final Map<String, String> states = new LinkedHashMap<>();
     private final Map<String, Integer> changedIn = new LinkedHashMap<>();
     private final List<Socket> watches = new ArrayList<>();
-    private final Object callTurn = new Object();
     private int version = 41;
     private volatile boolean down;
-    private volatile long serviceMillis;
     private volatile long failAfterMillis;
-    private volatile long writingMillis;
-    private volatile int bytesWrittenOfLast;
 
     public Discovery(Rig rig, List<Backend> listed) throws IOException {
         this.rig = rig;
@@ -43,7 +34,7 @@
             states.put(backend.id, "active");
             changedIn.put(backend.id, version);
         }
-        listener = new ServerSocket(0, 128, InetAddress.getByName("127.0.0.1"));
+        ServerSocket listener = new ServerSocket(0, 128, InetAddress.getByName("127.0.0.1"));
         port = listener.getLocalPort();
         Backend.startThread(() -> {
             while (true) {
@@ -54,16 +45,6 @@
         });
     }
 
-    /** How long discovery works on one call, before it answers and takes the next one. */
-    public void setServiceMillis(long millis) {
-        serviceMillis = millis;
-    }
-
-    /** From now on a list or a change is written over this time, in even pieces. */
-    public void setWritingMillis(long millis) {
-        writingMillis = millis;
-    }
-
     /** The whole list, as a proxy last had it. */
     public synchronized String wholeList() {
         List<String> entries = new ArrayList<>();
@@ -94,14 +75,6 @@
         notifyAll();
     }
 
-    /** Changes the state of a backend, in a version that names all others anew. */
-    public synchronized void changeAll(Backend backend, String state) {
-        change(backend, state);
-        bytesWrittenOfLast = 0;
-        changedIn.replaceAll((id, changed) -> version);
-        notifyAll();
-    }
-
     /** Goes down: all watches end, and each call fails with 503 once it has waited for this long. */
     public synchronized void goDown(long waitMillis) throws IOException {
         rig.note("discovery goes down; calls wait for " + waitMillis + " ms and end in 503");
@@ -121,28 +94,6 @@
         notifyAll();
     }
 
-    /** The number of calls so far. */
-    public int calls() {
-        return calls.get();
-    }
-
-    /** Takes no new connections any more. */
-    public void stopAccepting() {
-        try {
-            listener.close();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
-    /** Closes all open connections. */
-    public synchronized void closeWatches() throws IOException {
-        for (Socket watch : watches) {
-            watch.close();
-        }
-        watches.clear();
-    }
-
     private void serve(Socket socket) throws Exception {
         try (socket) {
             BufferedReader in = new BufferedReader(
@@ -152,17 +103,13 @@
             for (String line = in.readLine(); !line.isEmpty(); line = in.readLine()) {
                 continue;
             }
-            calls.incrementAndGet();
-            rig.trace("discovery " + port + ": call " + target);
+            rig.trace("discovery: call " + target);
             if (down) {
                 Thread.sleep(failAfterMillis);
                 out.write(Backend.text(503, "Service Unavailable", ""));
-                rig.trace("discovery " + port + ": answered 503");
+                rig.trace("discovery: answered 503");
                 return;
             }
-            synchronized (callTurn) {
-                Thread.sleep(serviceMillis);
-            }
             if (!target.contains("watch=1")) {
                 out.write(Backend.text(200, "OK", wholeList() + "\n"));
                 return;
@@ -181,8 +128,8 @@
             known = version;
         }
         out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
-        write(out, first + "\n");
-        rig.trace("discovery " + port + ": answered with version " + known);
+        writeChunk(out, first + "\n");
+        rig.trace("discovery: answered with version " + known);
         while (true) {
             String text = "\n";
             synchronized (this) {
@@ -194,31 +141,10 @@
                     known = version;
                 }
             }
-            write(out, text);
+            writeChunk(out, text);
             if (text.length() > 1) {
-                rig.trace("discovery " + port + ": told version " + known);
-            }
-        }
-    }
-
-    /** How much of the latest list or change has been written so far. */
-    public int bytesWrittenOfLast() {
-        return bytesWrittenOfLast;
-    }
-
-    private void write(OutputStream out, String text) throws Exception {
-        if (text.length() > 1) {
-            bytesWrittenOfLast = 0;
-        }
-        int pieces = (int) Math.min(text.length(), 1 + writingMillis / PIECE_MILLIS);
-        for (int piece = 0; piece < pieces; piece++) {
-            if (piece > 0) {
-                Thread.sleep(PIECE_MILLIS);
+                rig.trace("discovery: told version " + known);
             }
-            int start = (int) ((long) text.length() * piece / pieces);
-            int end = (int) ((long) text.length() * (piece + 1) / pieces);
-            writeChunk(out, text.substring(start, end));
-            bytesWrittenOfLast = text.length() > 1 ? end : bytesWrittenOfLast;
         }
     }
 
--- a/review/common-2/src/review2/Rig.java
+++ b/review/common-2/src/review2/Rig.java
@@ -24,6 +24,9 @@
     /** Exit codes of a case. */
     public static final int HELD = 0, BROKEN = 1, NOT_RUN = 2;
 
+    /** A case ends within 120 s. */
+    private static final long MAX_CASE_MILLIS = 118_000;
+
     private final Path root;
     private final Path temporaryFolder;
     private final PrintWriter record;
@@ -34,7 +37,7 @@
         this.root = root;
         this.temporaryFolder = Files.createTempDirectory("review-case-");
         this.record = new PrintWriter(Files.newBufferedWriter(caseFolder.resolve("record.txt")));
-        Runtime.getRuntime().addShutdownHook(new Thread(this::endAll));
+        Runtime.getRuntime().addShutdownHook(new Thread(this::endAll)); // also if the script is interrupted
     }
 
     /** A case: returns whether the rule held; throws if it couldn't run. */
@@ -46,6 +49,11 @@
     public static void main(String[] arguments, Case reviewCase) throws Exception {
         int exitCode = NOT_RUN;
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        Backend.startThread(() -> {
+            Thread.sleep(MAX_CASE_MILLIS);
+            System.out.println("RESULT: the case took too long");
+            System.exit(NOT_RUN);
+        });
         try (Rig rig = new Rig(Path.of(arguments[0]), Path.of(arguments[1]))) {
             try {
                 rig.note("disruption: " + (trouble ? "on" : "off"));
@@ -178,19 +186,26 @@
         }
     }
 
+    /** Ends all processes and removes the temporary folder. */
     private synchronized void endAll() {
         processes.forEach(Process::destroyForcibly);
+        try {
+            for (Process process : processes) {
+                process.waitFor();
+            }
+            if (Files.isDirectory(temporaryFolder)) {
+                try (Stream<Path> files = Files.walk(temporaryFolder)) {
+                    files.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
+                }
+            }
+        } catch (IOException | InterruptedException e) {
+            System.err.println("clean-up: " + e);
+        }
     }
 
     @Override
-    public void close() throws Exception {
+    public void close() {
         endAll();
-        for (Process process : processes) {
-            process.waitFor();
-        }
-        try (Stream<Path> files = Files.walk(temporaryFolder)) {
-            files.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
-        }
         record.close();
     }
 
