--- a/review/6/src/review2/LongBodiesCase.java
+++ b/review/6/src/review2/LongBodiesCase.java
@@ -99,6 +99,7 @@
         String id = Deployment.newId();
         try (HttpClientConnection connection = new HttpClientConnection(proxy.port, 1_000)) {
             String request = Deployment.post(Deployment.UPDATE, id, "k" + id, 2, "");
+            double sentAt = rig.now();
             connection.send(request.replace("Content-Length: 0", "Content-Length: " + bytes));
             Thread writer = Backend.startThread(() -> {
                 OutputStream out = connection.socket.getOutputStream();
@@ -109,9 +110,7 @@
             });
             HttpClientConnection.Answer answer = connection.read(40_000);
             UPLOADED.addAndGet(answer.status == 200 ? 1 : 0);
-            if (answer.status != 200) {
-                rig.trace("body " + id + ": " + answer);
-            }
+            rig.traceAnswer(id, answer, sentAt);
             connection.socket.close();
             writer.join();
         } catch (Exception e) {
@@ -157,6 +156,7 @@
             return;
         }
         longestGap = Math.max(longestGap, rig.now() - last);
+        rig.trace("long answer " + id + ": " + total + " bytes, " + (ended == null ? "whole" : ended));
         WHOLE.addAndGet(ended == null ? 1 : 0);
         if (ended != null || longestGap > MAX_HELD_BACK_MILLIS) {
             LOST.incrementAndGet();
--- a/review/9/src/review2/RestartCase.java
+++ b/review/9/src/review2/RestartCase.java
@@ -53,8 +53,10 @@
             clients.add(Backend.startThread(() -> {
                 try (HttpClientConnection connection = new HttpClientConnection(proxy.port, 1_000)) {
                     while (rig.now() < stopAt) {
-                        connection.send(Deployment.lookup(Deployment.newId(), 1));
-                        connection.read(2_000);
+                        String id = Deployment.newId();
+                        double sentAt = rig.now();
+                        connection.send(Deployment.lookup(id, 1));
+                        rig.traceAnswer(id, connection.read(2_000), sentAt);
                         Thread.sleep(40);
                     }
                     double sendAt = termAt + FIRST_REQUEST_MILLIS + client * BETWEEN_REQUESTS_MILLIS;
--- a/review/common-2/src/review2/Backend.java
+++ b/review/common-2/src/review2/Backend.java
@@ -16,7 +16,7 @@
 
 /** A backend as the protocol page describes it: one request at a time on a connection, answered in order. */
 public final class Backend {
-    /** A request that has arrived with its last byte, with the times of its first and last byte in the rig's milliseconds. */
+    /** A request that has arrived whole, with the times of its first and last byte in the rig's milliseconds. */
     public static final class Received {
         public String method, target, id, serviceClass;
         public final Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
@@ -97,6 +97,7 @@
                 readBody(in, request);
                 request.lastByteAt = rig.now();
                 received.add(request);
+                rig.trace("run: " + request.id + " at " + id);
                 open = behaviour.handle(request, out);
             }
         }
--- a/review/common-2/src/review2/Rig.java
+++ b/review/common-2/src/review2/Rig.java
@@ -85,6 +85,12 @@
         record.println(line(text));
     }
 
+    /** Records how a client's request ended, so long after it was sent. */
+    public void traceAnswer(String id, HttpClientConnection.Answer answer, double sentAt) {
+        trace(String.format(Locale.ROOT, "sent: %s at %.1f, answered: %s after %.1f ms", id, sentAt, answer,
+            now() - sentAt));
+    }
+
     private String line(String text) {
         return String.format(Locale.ROOT, "%10.1f ms  %s", now(), text);
     }
