Review: SIGKILL of case 9 never early, outage of case 10 independent of the start

Need: read again against its own limits, case 9 timed SIGKILL from the moment planned for SIGTERM, so that a slow signal could have made it come sooner than 2.7 s; the outage of case 10 was counted from readiness, so that a slow start could have moved the proxy's next call next to the return. Change: both are timed from what happened.

--- a/review/9/src/review2/RestartCase.java
+++ b/review/9/src/review2/RestartCase.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -47,7 +48,8 @@
         AtomicInteger whole = new AtomicInteger(), refused = new AtomicInteger(), shut = new AtomicInteger(),
             lost = new AtomicInteger();
         List<Thread> clients = new ArrayList<>();
-        double stopAt = rig.now() + 2_500, termAt = stopAt + 200;
+        double stopAt = rig.now() + 2_500;
+        CompletableFuture<Double> signalled = new CompletableFuture<>(); // the time at which SIGTERM had been sent
         for (int i = 0; i < CLIENTS; i++) {
             int client = i;
             clients.add(Backend.startThread(() -> {
@@ -59,6 +61,7 @@
                         rig.traceAnswer(id, connection.read(2_000), sentAt);
                         Thread.sleep(40);
                     }
+                    double termAt = signalled.get();
                     double sendAt = termAt + FIRST_REQUEST_MILLIS + client * BETWEEN_REQUESTS_MILLIS;
                     Thread.sleep((long) (sendAt - rig.now()));
                     connection.send(Deployment.lookup(Deployment.newId(), 1).replace("/a?", "/long?"));
@@ -70,24 +73,28 @@
                     shut.addAndGet(answer.status == 0 ? 1 : 0);
                     boolean isLost = !answer.isWhole() && answer.status != 0 && sentAfter > OWED_AFTER_MILLIS;
                     lost.addAndGet(isLost ? 1 : 0);
-                    rig.note(String.format(Locale.ROOT, "request sent %.0f ms after the signal's time: %s, %.0f ms after"
+                    rig.note(String.format(Locale.ROOT, "request sent %.0f ms after SIGTERM's time: %s, %.0f ms after"
                         + " it%s", sentAfter, answer, rig.now() - termAt, isLost ? ": lost" : ""));
                 } catch (java.io.IOException e) {
                     shut.incrementAndGet();
                 }
             }));
         }
-        Thread.sleep((long) (termAt - rig.now()));
+        Thread.sleep((long) (stopAt + 200 - rig.now()));
         if (trouble) {
             proxy.signal("TERM");
+            double termAt = rig.now(); // not earlier than the signal, so that SIGKILL is not early
+            signalled.complete(termAt);
             rig.note("SIGTERM");
-            Thread.sleep((long) (termAt + KILL_MILLIS - rig.now()));
+            Thread.sleep((long) Math.ceil(termAt + KILL_MILLIS - rig.now()));
             if (proxy.isAlive()) {
                 proxy.signal("KILL");
                 rig.note("SIGKILL");
             } else {
                 rig.note("the proxy has ended by itself");
             }
+        } else {
+            signalled.complete(rig.now());
         }
         for (Thread client : clients) {
             client.join();
--- a/review/common-2/src/review2/Discovery.java
+++ b/review/common-2/src/review2/Discovery.java
@@ -26,6 +26,7 @@
     private int version = 41;
     private volatile boolean down;
     private volatile long failAfterMillis;
+    private volatile double firstCallAt;
 
     public Discovery(Rig rig, List<Backend> listed) throws IOException {
         this.rig = rig;
@@ -75,6 +76,11 @@
         notifyAll();
     }
 
+    /** When the first call came, in the rig's milliseconds; 0 if there was none. */
+    public double firstCallAt() {
+        return firstCallAt;
+    }
+
     /** Goes down: all watches end, and each call fails with 503 once it has waited for this long. */
     public synchronized void goDown(long waitMillis) throws IOException {
         rig.note("discovery goes down; calls wait for " + waitMillis + " ms and end in 503");
@@ -103,6 +109,7 @@
             for (String line = in.readLine(); !line.isEmpty(); line = in.readLine()) {
                 continue;
             }
+            firstCallAt = firstCallAt == 0 ? rig.now() : firstCallAt;
             rig.trace("discovery: call " + target);
             if (down) {
                 Thread.sleep(failAfterMillis);
