Don't take the time of an upload for load of the backends

The module compares latencies with the shortest usual one (some 8 ms), took long uploads for overloaded backends and refused most uploads, and would have ejected their backends.

Change: a streamed request's latency counts from the last byte that was written to its backend, and the module leaves it out of what it learns of usual latencies, and of what it calls slow: it depends on the length of the body and on what else this proxy passes on meanwhile. Time-outs, rejections and errors of uploads count as before.

--- a/decision/src/main/java/dockrelay/RiqBalancer.java
+++ b/decision/src/main/java/dockrelay/RiqBalancer.java
@@ -584,13 +584,13 @@
             attempt.backend.connectErrors = 0;
             successRate(now);
             rawRate += 1e6 / (meanTarget * RATE_TARGETS);
-            if (!req.copied) { // the faster of two answers is not a typical one
+            if (!req.copied && !req.request.streamed()) { // of two, the faster; of uploads, by length
                 recordLatency(service, latency / req.work);
                 recordHint(service, latency, req.request.workHint());
             }
             pressure += SMOOTHING * (Math.min(latency / (double) service.spec.latencyTarget(), 2) - pressure);
             if (!attempt.overdue) {
-                recordScore(now, attempt, latency > overdueAfter(req) * 2);
+                recordScore(now, attempt, !req.request.streamed() && latency > overdueAfter(req) * 2);
             }
         } else if (outcome != Outcome.CANCELLED && outcome != Outcome.NOT_SENT) {
             if (outcome == Outcome.CONNECT_FAILURE) {
--- a/decision/src/test/java/dockrelay/FailureScenariosTest.java
+++ b/decision/src/test/java/dockrelay/FailureScenariosTest.java
@@ -319,6 +319,23 @@
         }
     }
 
+    /** The time that long uploads take was taken for overload of the backends, and requests were refused. */
+    @Test
+    void longUploadsCauseNoShedding() {
+        Host host = Host.createDefault().withBackends(10);
+        host.warmUp(200);
+        for (int i = 0; i < 300; i++) {
+            for (int j = 0; j < 10; j++) {
+                host.upload("u" + i + "-" + j, "safe");
+            }
+            host.advance(190 * Host.MS);
+            for (int j = 0; j < 10 && host.refused.isEmpty(); j++) {
+                host.answer("u" + i + "-" + j, 0, 190 * Host.MS);
+            }
+        }
+        assertEquals(List.of(), host.refused, "refused although no backend is overloaded");
+    }
+
     @Test
     void slowBackendsCauseSheddingThatEndsWithThem() {
         Host host = Host.createDefault().withBackends(10);
--- a/decision/src/test/java/dockrelay/Host.java
+++ b/decision/src/test/java/dockrelay/Host.java
@@ -104,6 +104,11 @@
         balancer.onRequest(now, new Request(id, serviceClass, null, null, 600 * MS, workHint, false));
     }
 
+    /** Sends a request whose body is passed on as it arrives. */
+    void upload(String id, String serviceClass) {
+        balancer.onRequest(now, new Request(id, serviceClass, null, null, 600 * MS, 0, false, true));
+    }
+
     /** Sends an idempotent request with a work hint and, if it is admitted, answers it after the latency. */
     boolean requestWithHint(String id, long workHint, long latency) {
         request(id, "safe", workHint);
--- a/proxy/src/main/java/dockrelay/proxy/BackendConnectionPool.java
+++ b/proxy/src/main/java/dockrelay/proxy/BackendConnectionPool.java
@@ -417,7 +417,7 @@
         private long lastProgress;
         private final long createdAtNanos = System.nanoTime();
         private boolean sendStarted, requestWritten, ended, notExecuted;
-        private long sendStartNanos;
+        private long sendStartNanos, requestWrittenNanos;
 
         private Exchange(BackendState backend, HttpRequest request, Body body, long timeoutMicros,
                          ExchangeListener listener) {
@@ -478,6 +478,7 @@
         private void writeFinished(io.netty.util.concurrent.Future<?> done) {
             if (done.isSuccess()) {
                 requestWritten = true;
+                requestWrittenNanos = System.nanoTime();
             } else {
                 channel.close();
                 end(Outcome.CONNECT_FAILURE, null);
@@ -569,6 +570,11 @@
             return TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - sendStartNanos);
         }
 
+        /** The time since the last byte was handed to the system, or 0 before that, in microseconds. */
+        long microsSinceRequestWritten() {
+            return requestWritten ? TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - requestWrittenNanos) : 0;
+        }
+
         /** Whether the backend may have executed the request or may still do so. */
         boolean mayHaveExecuted() {
             return sendStarted && !notExecuted;
--- a/proxy/src/main/java/dockrelay/proxy/RequestTable.java
+++ b/proxy/src/main/java/dockrelay/proxy/RequestTable.java
@@ -138,7 +138,7 @@
         final Arrival arrival; // of a streamed request, else null
         final ResponseWriter responseWriter;
         long deadlineMicros;
-        long receivedAtMicros, responseStartMicros;
+        long receivedAtMicros, responseStartMicros; // received: when the client can have written the end
         BackendConnectionPool.Exchange streamingExchange;
         final List<BackendConnectionPool.Exchange> attempts = new ArrayList<>(2);
         Future<?> timer, windowTimer;
@@ -492,7 +492,7 @@
         counters.increment(Count.SERVED);
         entry.responseWriter.beginStreaming(head, body);
         dispatch(entry, () -> decisionModule.onStreamStart(clockMicros.getAsLong(), entry.request.id(),
-            attempt, backend, latency(entry, sentAtMicros, entry.responseStartMicros)));
+            attempt, backend, latency(entry, attempt, sentAtMicros, entry.responseStartMicros)));
         cancelUnsentAttempts(entry);
         scheduleStreamingTimeout(entry);
     }
@@ -580,9 +580,14 @@
         }
     }
 
-    /** The backend's latency, which excludes the time that the client took to send its request. */
-    private static long latency(Entry entry, long sentAtMicros, long endMicros) {
-        return Math.max(0, endMicros - Math.max(sentAtMicros, entry.receivedAtMicros));
+    /** The backend's latency, which excludes the time until a streamed request was written to it. */
+    private long latency(Entry entry, int attempt, long sentAtMicros, long endMicros) {
+        long startMicros = sentAtMicros;
+        if (entry.body != null && entry.attempts.get(attempt) != null) {
+            startMicros = Math.max(startMicros,
+                clockMicros.getAsLong() - entry.attempts.get(attempt).microsSinceRequestWritten());
+        }
+        return Math.max(0, endMicros - startMicros);
     }
 
     private void attemptEnded(Entry entry, int attempt, long backend, long sentAtMicros, Outcome outcome,
@@ -604,7 +609,7 @@
             boolean closesRequest = streamed || entry.streamingExchange == null
                 && (answeredBefore || entry.answered);
             decisionModule.onOutcome(nowMicros, entry.request.id(), attempt, backend, outcome,
-                latency(entry, sentAtMicros, streamed ? entry.responseStartMicros : nowMicros),
+                latency(entry, attempt, sentAtMicros, streamed ? entry.responseStartMicros : nowMicros),
                 closesRequest, report);
             removeIfDone(entry);
         });
