Discard the rest of rejected long bodies at a limited rate, in turns

Cause: after a request is answered before its body was read, its connection is read at full speed for up to 2.5 s, so that the client gets the answer.

Change: connections of which more is left than the system keeps here take turns at some 32 MB/s in all, which is still the longest body in a second. Shorter rests are read at once, as they would only hold a descriptor.

--- a/proxy/src/main/java/dockrelay/proxy/BufferLimit.java
+++ b/proxy/src/main/java/dockrelay/proxy/BufferLimit.java
@@ -19,7 +19,7 @@
     private static final long BYTES_PER_MEGABYTE = 1 << 20;
     /** Stays below the runtime's limit on direct memory (32 MB), beyond which allocating a buffer fails. */
     private static final long MAX_BUFFER_MEGABYTES = 24;
-    private static final int MAX_READ_BYTES = 16 * 1024;
+    static final int MAX_READ_BYTES = 16 * 1024;
     static final int MAX_BUFFERED_MESSAGE_BYTES = 64 * 1024;
     /** One body may be read ahead up to the limit divided by this number. */
     private static final int READ_AHEAD_DIVISOR = 8;
--- a/proxy/src/main/java/dockrelay/proxy/ClientFrontend.java
+++ b/proxy/src/main/java/dockrelay/proxy/ClientFrontend.java
@@ -112,6 +112,7 @@
     private final Set<ClientConnection> idleConnections = new LinkedHashSet<>(); // longest idle first
     private final ServerChannelRecvByteBufAllocator acceptAllocator = new ServerChannelRecvByteBufAllocator();
     private final LoopHeartbeat heartbeat = new LoopHeartbeat();
+    private DiscardQueue discardQueue;
     private Channel listener;
     private boolean draining, evictionScheduled;
     private long drainDeadlineNanos;
@@ -166,6 +167,7 @@
         ChannelFuture bindFuture = address == null ? bootstrap.register() : bootstrap.bind(address);
         listener = bindFuture.channel();
         heartbeat.start(listener.eventLoop());
+        discardQueue = new DiscardQueue(listener.eventLoop());
         return bindFuture;
     }
 
@@ -884,13 +886,23 @@
         private void closeAfterLinger(long lingerMillis) {
             if (channel instanceof DuplexChannel duplex && channel.isActive()) {
                 duplex.shutdownOutput();
-                channel.config().setAutoRead(true);
+                if (isMuchLeftToDiscard()) {
+                    discardQueue.add(channel);
+                } else {
+                    channel.config().setAutoRead(true);
+                }
                 channel.eventLoop().schedule(() -> channel.close(), lingerMillis, TimeUnit.MILLISECONDS);
             } else {
                 channel.close();
             }
         }
 
+        /** Whether more of the request may be on its way than the system keeps of it. */
+        private boolean isMuchLeftToDiscard() {
+            return requestHead != null && HttpUtil.getContentLength(requestHead, Long.MAX_VALUE) - receivedBytes
+                > UploadMonitor.MAX_UNREAD_HERE_BYTES;
+        }
+
         /** Notes whether the input is empty now, after the decoder has handled what was read. */
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
--- a/proxy/src/main/java/dockrelay/proxy/UploadMonitor.java
+++ b/proxy/src/main/java/dockrelay/proxy/UploadMonitor.java
@@ -30,9 +30,10 @@
     static final int RECEIVE_BUFFER_BYTES = 256 << 10;
     /** The kernel doubles the size of a buffer that is set, to allow for its overhead. */
     private static final int BUFFER_OVERHEAD_FACTOR = 2;
+    /** The most that has arrived at this machine without being read. */
+    static final long MAX_UNREAD_HERE_BYTES = BUFFER_OVERHEAD_FACTOR * RECEIVE_BUFFER_BYTES;
     /** The most that a client can have written without being read. */
-    static final long MAX_UNREAD_BYTES =
-        MAX_SEND_BUFFER_BYTES + BUFFER_OVERHEAD_FACTOR * RECEIVE_BUFFER_BYTES;
+    static final long MAX_UNREAD_BYTES = MAX_SEND_BUFFER_BYTES + MAX_UNREAD_HERE_BYTES;
     /** Reading ahead begins when the time budget divided by this number has passed. */
     private static final int READ_AHEAD_DIVISOR = 2;
     /** From then on it is tried again each time the time budget divided by this number has passed. */
