Never let transfers that wait take the memory of those that have begun

All answers and bodies stood still for 18 to 20 s; then the answers were reset and the bodies got 503 or nothing.

Cause: before an attempt, an upload is read ahead until its input is empty, to learn whether its client is there. Each might use an eighth of the memory for buffers. While this memory was full nothing at all was read: not those that were read ahead, so that none got to its end and freed memory, nor what had begun, and a body of which over 4.5 MB are missing has no running time.

Change: TransferMemory states who may read. What has begun and has been passed on may always read on, 4 KB at a time while memory is short, so that it depends on its peers alone. Reading ahead needs a reservation, in turns, of half of the memory together; who holds memory never waits for more. What waits for a receiver uses half. An attempt waits for its client's presence no longer than its time. Before it has a receiver, an upload is read once, not up to 64 KB, so that passes of the event loop are short and presence is still known when its connection is there. New gauges: live-direct-kb, read-ahead-kb.

--- a/proxy/src/main/java/dockrelay/proxy/BackendConnectionPool.java
+++ b/proxy/src/main/java/dockrelay/proxy/BackendConnectionPool.java
@@ -167,7 +167,7 @@
         this.bootstrap = template.clone()
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (connectTimeoutMicros / 1000))
             .option(ChannelOption.WRITE_BUFFER_WATER_MARK, BufferLimit.WATER_MARKS)
-            .option(ChannelOption.RECVBUF_ALLOCATOR, BufferLimit.receiveAllocator())
+            .option(ChannelOption.RECVBUF_ALLOCATOR, bufferLimit.receiveAllocator())
             .handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
@@ -441,6 +441,11 @@
 
         private void writeTo(BackendConnection connection) {
             channel = connection.channel;
+            if (body != null) {
+                stopTimer();
+                timer = eventLoop.schedule(() -> end(Outcome.NOT_SENT, null), timeoutMicros,
+                    TimeUnit.MICROSECONDS); // memory may be too short to learn whether the client is there
+            }
             listener.whenClientPresent(() -> startSending(connection), () -> end(Outcome.NOT_SENT, null));
         }
 
@@ -506,6 +511,16 @@
             }
         }
 
+        @Override
+        public boolean isWritable() {
+            return channel.isWritable();
+        }
+
+        @Override
+        public boolean isDrained() {
+            return BufferLimit.isDrained(channel);
+        }
+
         @Override
         public void onAborted() {
             end(Outcome.CANCELLED, null); // the backend must not take the request for complete
@@ -714,11 +729,15 @@
 
         private BufferLimit.FlowControl flowControl() {
             if (flowControl == null) {
-                flowControl = bufferLimit.new FlowControl(channel, counters);
+                flowControl = bufferLimit.new FlowControl(channel, counters, this::transferStage);
             }
             return flowControl;
         }
 
+        private TransferMemory.Stage transferStage() {
+            return streamedBody == null ? TransferMemory.Stage.WAITING : streamedBody.stage();
+        }
+
         /** Switches to streaming: from here on the response is forwarded as it arrives. */
         private void startStreaming() {
             streamedBody = new Body(this, BufferLimit.MAX_BUFFERED_MESSAGE_BYTES);
--- a/proxy/src/main/java/dockrelay/proxy/Body.java
+++ b/proxy/src/main/java/dockrelay/proxy/Body.java
@@ -32,6 +32,16 @@
 
         /** The body was aborted before its end. */
         void onAborted();
+
+        /** Whether the connection can accept more at the moment. */
+        default boolean isWritable() {
+            return true;
+        }
+
+        /** Whether everything that was written to the connection has been handed to the system. */
+        default boolean isDrained() {
+            return true;
+        }
     }
 
     private final Source source;
@@ -130,7 +140,15 @@
                 send(content.retainedDuplicate());
             }
         }
-        setSinkWritable(true);
+        setSinkWritable(newSink.isWritable());
+    }
+
+    /** How far this transfer has come, which decides what memory it may use. */
+    TransferMemory.Stage stage() {
+        if (sink == null) {
+            return TransferMemory.Stage.WAITING;
+        }
+        return sink.isDrained() ? TransferMemory.Stage.DRAINED : TransferMemory.Stage.FORWARDING;
     }
 
     /** Detaches this sink; while the body is replayable, another one may be attached. */
--- a/proxy/src/main/java/dockrelay/proxy/ClientFrontend.java
+++ b/proxy/src/main/java/dockrelay/proxy/ClientFrontend.java
@@ -151,7 +151,7 @@
             // Read until the socket is drained, so that a connection closed right after its request is
             // noticed before the request is forwarded.
             .childOption(ChannelOption.RECVBUF_ALLOCATOR,
-                BufferLimit.receiveAllocator().respectMaybeMoreData(false)
+                bufferLimit.receiveAllocator().respectMaybeMoreData(false)
                     .maxMessagesPerRead(MAX_READS_PER_EVENT))
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
@@ -445,6 +445,7 @@
                 inFlightId = null;
             }
             if (upload != null) {
+                upload.release();
                 upload.body().abort();
                 upload = null;
             }
@@ -830,6 +831,16 @@
             }
         }
 
+        @Override
+        public boolean isWritable() {
+            return channel.isWritable();
+        }
+
+        @Override
+        public boolean isDrained() {
+            return BufferLimit.isDrained(channel);
+        }
+
         /** Resets the connection, so that the client notices that the response is incomplete. */
         @Override
         public void onAborted() {
--- a/proxy/src/main/java/dockrelay/proxy/ClientUpload.java
+++ b/proxy/src/main/java/dockrelay/proxy/ClientUpload.java
@@ -19,8 +19,10 @@
     private final UploadMonitor monitor;
     private final UploadStatistics statistics;
     private final BufferLimit.FlowControl flowControl;
+    private final TransferMemory memory;
     private final Body body;
-    private boolean stopped;
+    private TransferMemory.Reservation reservation; // of memory for reading ahead, else null
+    private boolean stopped, reservationExhausted;
 
     /**
      * Starts to stream a body.
@@ -34,11 +36,12 @@
         this.probe = probe;
         this.counters = counters;
         this.input = input;
+        memory = bufferLimit.memory();
         monitor = new UploadMonitor(input, Deadlines.ofBudgetMicros(budgetMicros), declaredBytes,
-            receivedBytes, bufferLimit.maxReadAheadBytes(), now);
+            receivedBytes, memory.maxReservationBytes(), now);
         statistics = new UploadStatistics(now, receivedBytes);
-        flowControl = bufferLimit.new FlowControl(channel, this);
-        body = new Body(this, BufferLimit.MAX_BUFFERED_MESSAGE_BYTES, statistics);
+        flowControl = bufferLimit.new FlowControl(channel, this, this::stage);
+        body = new Body(this, BufferLimit.MAX_READ_BYTES, statistics);
     }
 
     Body body() {
@@ -60,36 +63,76 @@
     /** Called after a content was added to the body, which may have filled the buffers. */
     void afterRead() {
         applyDemand();
+        flowControl.afterRead();
+    }
+
+    private TransferMemory.Stage stage() {
+        return monitor.isReadingAhead() ? TransferMemory.Stage.RESERVED : body.stage();
     }
 
     /** The client's input was found to be empty. */
     void inputEmpty() {
         monitor.inputEmpty();
+        if (reservation != null && reservation.isGranted()) {
+            reservation.shrinkTo(monitor.readAheadBytes());
+        } else {
+            releaseReservation(); // no more is needed
+        }
         applyDemand();
     }
 
     /** Flow control no longer applies: the connection is read, so that the client's close is noticed. */
     void stop() {
-        stopped = true;
+        release();
         flowControl.stop();
     }
 
+    /** Releases the memory that is reserved; the rest of the body, if there is one, isn't read any more. */
+    void release() {
+        stopped = true;
+        releaseReservation();
+    }
+
+    private void releaseReservation() {
+        if (reservation != null) {
+            TransferMemory.Reservation released = reservation;
+            reservation = null;
+            reservationExhausted = false;
+            released.release();
+        }
+    }
+
     /** Whether the client is still connected; if that is pending, it is being read to find out. */
     Presence clientPresence() {
         Presence presence = monitor.clientPresence(System.nanoTime());
         applyDemand();
-        return presence;
+        return presence == Presence.PENDING && reservationExhausted ? Presence.UNKNOWN : presence;
     }
 
     private void applyDemand() {
         if (!stopped) {
-            flowControl.setReadEnabled(monitor.wantsRead());
+            flowControl.setReadEnabled(monitor.wantsRead()
+                && (!monitor.isReadingAhead() || hasReservation()));
         }
     }
 
+    /** Whether memory is reserved for all that is to be read ahead; asks for it if not. */
+    private boolean hasReservation() {
+        if (reservation == null) {
+            reservation = memory.reserve(monitor.maxRemainingReadAhead(), this::applyDemand);
+        }
+        boolean granted = reservation.isGranted();
+        reservationExhausted = granted
+            && !reservation.extendTo(monitor.readAheadBytes() + monitor.maxRemainingReadAhead());
+        return granted && !reservationExhausted;
+    }
+
     @Override
     public void setReadEnabled(boolean enabled) {
         monitor.setSinkWritable(enabled);
+        if (enabled) {
+            releaseReservation();
+        }
         applyDemand();
     }
 
--- a/proxy/src/main/java/dockrelay/proxy/Proxy.java
+++ b/proxy/src/main/java/dockrelay/proxy/Proxy.java
@@ -122,6 +122,8 @@
         HeadMemory headMemory = HeadMemory.ofHeap();
         BufferLimit bufferLimit = BufferLimit.forAllocator(allocator, config.memoryMegabytes());
         counters.registerGauge("direct-kb", () -> allocator.metric().usedDirectMemory() >> 10);
+        counters.registerGauge("live-direct-kb", () -> allocator.pinnedDirectMemory() >> 10);
+        counters.registerGauge("read-ahead-kb", () -> bufferLimit.memory().reservedBytes() >> 10);
         connectionPool = new BackendConnectionPool(clientBootstrap, eventLoop,
             maxConnections - maxClientConnections, config.connectTimeoutMicros(),
             config.connectionIdleMicros(), counters, bufferLimit);
--- a/proxy/src/main/java/dockrelay/proxy/UploadMonitor.java
+++ b/proxy/src/main/java/dockrelay/proxy/UploadMonitor.java
@@ -137,6 +137,22 @@
         return sinkWritable || readingAhead;
     }
 
+    /** Whether the client is to be read although its receiver accepts nothing, as far as memory permits. */
+    boolean isReadingAhead() {
+        return readingAhead;
+    }
+
+    /** Bytes that were read although the receiver accepted nothing, since it last accepted any. */
+    long readAheadBytes() {
+        return readAheadBytes;
+    }
+
+    /** The most that is still to be read ahead, in bytes. */
+    long maxRemainingReadAhead() {
+        long remaining = maxReadAheadBytes - readAheadBytes;
+        return declaredBytes < 0 ? remaining : Math.min(remaining, declaredBytes - receivedBytes);
+    }
+
     /** The input was found to be empty, which is what reading ahead is for. */
     void inputEmpty() {
         readingAhead = false;
