Begin no answer after SIGTERM that SIGKILL may cut

Cause: after SIGTERM the time of a request was cut to the end of the drain, but an answer that is passed on as it arrives has no time limit once it has begun.

Change: DrainPolicy states what is taken after SIGTERM: the time left, and how an answer is passed on. To a request whose last byte was read more than 0.5 s after SIGTERM (0.7 s less the way of the signal), an answer over 64 KiB is begun only once all of it is there and the system's send buffer holds it, so that it arrives although its client reads slowly and the process is gone. If that can't be, by its length or for want of memory, the request fails with 502 at once (new count: undeliverable); one that isn't whole in time fails at the end of its time. The drain counts from the signal, not from when the event loop handles it. Answers to earlier requests, and short ones, are passed on as before.

--- a/proxy/src/main/java/dockrelay/proxy/BackendConnectionPool.java
+++ b/proxy/src/main/java/dockrelay/proxy/BackendConnectionPool.java
@@ -4,6 +4,7 @@
 import dockrelay.Balancer.Outcome;
 import dockrelay.Balancer.Phase;
 import dockrelay.proxy.Counters.Count;
+import dockrelay.proxy.DrainPolicy.AnswerMode;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -67,6 +68,11 @@
     private static final long REUSE_DELAY_AFTER_UNSOLICITED_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
     /** How long an unreadable or unsolicited response lengthens the reuse delay. */
     private static final long ANOMALY_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(30);
+    /** Bound on a response of unknown length that has to be buffered whole. */
+    private static final int MAX_WHOLE_BYTES_OF_UNKNOWN_LENGTH =
+        2 * BufferLimit.MAX_BUFFERED_MESSAGE_BYTES;
+    /** Bound on the head of a response as it is passed on. */
+    private static final int MAX_RESPONSE_HEAD_BYTES = 16 * 1024;
     /** Bound on the body of a streamed response. */
     private static final long MAX_BODY_BYTES = 32 << 20;
     /**
@@ -108,6 +114,20 @@
             body.discard();
         }
 
+        /** How a successful response that is too long to be buffered is to be passed on. */
+        default AnswerMode answerMode() {
+            return AnswerMode.STREAMED;
+        }
+
+        /** Whether the system can keep so many bytes of a response for the client, before it is buffered. */
+        default boolean reserveSendBuffer(long bytes) {
+            return true;
+        }
+
+        /** A response is too long to be passed on as {@link #answerMode} demands; the outcome follows. */
+        default void onUndeliverable() {
+        }
+
         /**
          * Called once a connection is there. Runs the first action when it is known that the client is still
          * connected, and the second one if that can't be found out.
@@ -587,7 +607,8 @@
 
         /** The time since the last byte was handed to the system, or 0 before that, in microseconds. */
         long microsSinceRequestWritten() {
-            return requestWritten ? TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - requestWrittenNanos) : 0;
+            return requestWritten
+                ? TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - requestWrittenNanos) : 0;
         }
 
         /** Whether the backend may have executed the request or may still do so. */
@@ -674,7 +695,8 @@
         private ByteBuf bufferedBody;
         private Body streamedBody;
         private BufferLimit.FlowControl flowControl;
-        private long idleSinceNanos, streamedBytes;
+        private TransferMemory.Reservation reservation; // of memory for a response that is buffered whole
+        private long idleSinceNanos, streamedBytes, reservedBytes;
         private boolean readInProgress;
 
         BackendConnection() {
@@ -715,12 +737,13 @@
             boolean successful = newHead.status().code() == 200;
             if (successful
                 && HttpUtil.getContentLength(newHead, 0L) > bufferLimit.maxBufferedMessageBytes()) {
-                startStreaming();
+                passOnLong(HttpUtil.getContentLength(newHead, 0L));
             } else if (successful && !HttpUtil.isContentLengthSet(newHead)) {
                 // The length is unknown: the first bytes must not be held back for too long.
                 Exchange exchange = currentExchange;
                 eventLoop.schedule(() -> {
-                    if (currentExchange == exchange && responseHead == newHead && streamedBody == null) {
+                    if (currentExchange == exchange && responseHead == newHead && streamedBody == null
+                        && exchange.listener.answerMode() == AnswerMode.STREAMED) {
                         startStreaming();
                     }
                 }, exchange.timeoutMicros / BUFFERING_TIME_DIVISOR, TimeUnit.MICROSECONDS);
@@ -734,6 +757,58 @@
             return flowControl;
         }
 
+        private TransferMemory memory() {
+            return bufferLimit.memory();
+        }
+
+        /** Passes on a response that has turned out to be longer than is buffered at the moment. */
+        private void passOnTooLong() {
+            long permittedBytes = Math.max(reservedBytes, BufferLimit.MAX_BUFFERED_MESSAGE_BYTES);
+            if (currentExchange.listener.answerMode() == AnswerMode.STREAMED
+                || bufferedBody.readableBytes() > permittedBytes) {
+                passOnLong(MAX_WHOLE_BYTES_OF_UNKNOWN_LENGTH);
+            }
+        }
+
+        /**
+         * Passes on a response of this length at the most: as it arrives, or once all of it has been
+         * buffered, or not at all if it can't be buffered although it would have to be.
+         */
+        private void passOnLong(long maxBytes) {
+            Exchange exchange = currentExchange;
+            if (exchange.listener.answerMode() == AnswerMode.STREAMED) {
+                releaseReservation();
+                startStreaming();
+            } else if (maxBytes <= BufferLimit.MAX_BUFFERED_MESSAGE_BYTES) {
+                return; // is buffered in any case
+            } else if (reservedBytes == 0 && reserve(maxBytes)) {
+                reservedBytes = maxBytes;
+            } else {
+                exchange.listener.onUndeliverable();
+                exchange.cancel(); // has no effect if the listener has cancelled it
+            }
+        }
+
+        private boolean reserve(long bytes) {
+            if (bytes > memory().maxReservationBytes() || !bufferLimit.hasRoom()
+                || !currentExchange.listener.reserveSendBuffer(bytes + MAX_RESPONSE_HEAD_BYTES)) {
+                return false;
+            }
+            reservation = memory().reserve(bytes, () -> { });
+            if (!reservation.isGranted()) {
+                releaseReservation();
+            }
+            return reservation != null;
+        }
+
+        private void releaseReservation() {
+            if (reservation != null) {
+                reservation.release();
+                reservation = null;
+            }
+            reservedBytes = 0;
+        }
+
         private TransferMemory.Stage transferStage() {
             return streamedBody == null ? TransferMemory.Stage.WAITING : streamedBody.stage();
         }
@@ -776,7 +851,7 @@
                 if (isLast) {
                     finish(context);
                 } else if (tooLong && responseHead.status().code() == 200) {
-                    startStreaming();
+                    passOnTooLong();
                 } else if (tooLong) {
                     reportUnreadable("body too long for a response with status " + responseHead.status());
                     currentExchange.requestWritten = true;
@@ -816,6 +891,7 @@
             currentExchange = null;
             responseHead = null;
             streamedBody = null;
+            releaseReservation();
             readInProgress = true;
             if (reusable) {
                 flowControl().stop();
@@ -880,6 +956,7 @@
             Exchange exchange = currentExchange;
             currentExchange = null;
             responseHead = null;
+            releaseReservation();
             if (bufferedBody != null) {
                 bufferedBody.release();
                 bufferedBody = null;
--- a/proxy/src/main/java/dockrelay/proxy/ClientFrontend.java
+++ b/proxy/src/main/java/dockrelay/proxy/ClientFrontend.java
@@ -16,6 +16,8 @@
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.SocketChannelConfig;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -114,8 +116,8 @@
     private final LoopHeartbeat heartbeat = new LoopHeartbeat();
     private DiscardQueue discardQueue;
     private Channel listener;
-    private boolean draining, evictionScheduled;
-    private long drainDeadlineNanos;
+    private boolean evictionScheduled;
+    private DrainPolicy drainPolicy; // null until this process is asked to stop
     private int acceptPauses; // times accepting was paused at the connection limit
     private Runnable allClosedAction;
 
@@ -191,13 +193,9 @@
         enforceConnectionLimit();
     }
 
-    /**
-     * From now on every response closes its connection, and the time budgets of new requests are cut to end
-     * by the given {@link System#nanoTime} value.
-     */
-    void startDraining(long deadlineNanos) {
-        draining = true;
-        drainDeadlineNanos = deadlineNanos;
+    /** From now on every response closes its connection, and new requests get the policy's time. */
+    void startDraining(DrainPolicy policy) {
+        drainPolicy = policy;
     }
 
     /**
@@ -735,10 +733,8 @@
          * request that is still in flight when the process is killed would be lost.
          */
         private long timeBudget(long requestedMicros) {
-            return draining && drainDeadlineNanos != Long.MAX_VALUE
-                ? Math.min(requestedMicros,
-                    TimeUnit.NANOSECONDS.toMicros(drainDeadlineNanos - System.nanoTime()))
-                : requestedMicros;
+            return drainPolicy == null ? requestedMicros
+                : drainPolicy.timeBudgetMicros(requestedMicros, System.nanoTime());
         }
 
         /** Whether every byte that was read belongs to a request that has been answered. */
@@ -781,7 +777,7 @@
 
         /** Whether the next response closes the connection; always so if its request is not yet complete. */
         private boolean isLastResponse() {
-            boolean closesConnection = !keepAlive || draining || requestHead != null;
+            boolean closesConnection = !keepAlive || drainPolicy != null || requestHead != null;
             if (!closesConnection && isNearLimit() && !closeLongestIdle()) {
                 counters.increment(Count.CROWDED);
                 closesConnection = true;
@@ -800,6 +796,18 @@
             finishResponse(channel.writeAndFlush(response));
         }
 
+        @Override
+        public boolean reserveSendBuffer(long bytes) {
+            if (!(channel instanceof SocketChannel socketChannel)) {
+                return true; // there is no system in between
+            }
+            SocketChannelConfig config = socketChannel.config();
+            if (DrainPolicy.maxWholeAnswerBytes(config.getSendBufferSize()) < bytes) {
+                config.setSendBufferSize((int) bytes); // the system sets a limit to it
+            }
+            return DrainPolicy.maxWholeAnswerBytes(config.getSendBufferSize()) >= bytes;
+        }
+
         @Override
         public void beginStreaming(HttpResponse streamedHead, Body body) {
             HttpResponse response =
@@ -910,8 +918,9 @@
 
         /** Whether more of the request may be on its way than the system keeps of it. */
         private boolean isMuchLeftToDiscard() {
-            return requestHead != null && HttpUtil.getContentLength(requestHead, Long.MAX_VALUE) - receivedBytes
-                > UploadMonitor.MAX_UNREAD_HERE_BYTES;
+            return requestHead != null
+                && HttpUtil.getContentLength(requestHead, Long.MAX_VALUE) - receivedBytes
+                    > UploadMonitor.MAX_UNREAD_HERE_BYTES;
         }
 
         /** Notes whether the input is empty now, after the decoder has handled what was read. */
--- a/proxy/src/main/java/dockrelay/proxy/Counters.java
+++ b/proxy/src/main/java/dockrelay/proxy/Counters.java
@@ -33,6 +33,8 @@
         TAKEN, SERVED, REFUSED, FAILED, OVERDUE, GONE,
         /** Connections opened to backends, and requests sent on a reused connection. */
         CONNECTS, REUSED,
+        /** Requests that failed as their answer could not be passed on before the end of this process. */
+        UNDELIVERABLE,
         /** Responses, and request bodies, streamed instead of buffered because they are long. */
         STREAMED, UPLOADED,
         /** Pauses in reading a body: the receiver could not accept more, or the buffers were full. */
--- a/proxy/src/main/java/dockrelay/proxy/Proxy.java
+++ b/proxy/src/main/java/dockrelay/proxy/Proxy.java
@@ -56,12 +56,6 @@
      * first instruction, even if discovery is down; then it serves by the cached list.
      */
     private static final long PUSHED_LIST_UPGRADE_TIMEOUT_MILLIS = 3_000, READY_DEADLINE_MILLIS = 8_500;
-    /**
-     * SIGKILL follows SIGTERM after the longest deadline (at most this value) plus 0.7 s. The drain uses only
-     * part of the 0.7 s, to leave a margin.
-     */
-    private static final long MAX_DEADLINE_MICROS = 3_000_000;
-    private static final long EXTRA_DRAIN_MILLIS = 450;
     private static final long COUNTERS_INTERVAL_MILLIS = 5_000;
     /** Interval of the check for lateness: any other event waits for the event loop as long as this check. */
     private static final long LATENESS_CHECK_INTERVAL_MILLIS = 50;
@@ -403,6 +397,7 @@
 
     /** Stops accepting, answers all accepted requests and shuts down. Blocks until that is done. */
     void stop() {
+        DrainPolicy drainPolicy = new DrainPolicy(System.nanoTime(), longestDeadlineMicros);
         eventLoop.execute(() -> {
             Log.write("stop", "asked to stop with " + requestTable.inFlightCount() + " requests in flight");
             stopping = true;
@@ -414,7 +409,7 @@
             } else if (membershipService != null) {
                 membershipService.leave();
             }
-            drainConnections();
+            drainConnections(drainPolicy);
         });
         try {
             boolean completed = shutdownComplete.await(MAX_SHUTDOWN_SECONDS, TimeUnit.SECONDS);
@@ -429,10 +424,10 @@
      * they may arrive. Open connections are kept as long as time allows: each is closed with its next
      * response, and a connection on which a request may be on its way is not closed.
      */
-    private void drainConnections() {
-        long remainingMillis = TimeUnit.MICROSECONDS.toMillis(Math.min(longestDeadlineMicros,
-            MAX_DEADLINE_MICROS)) + EXTRA_DRAIN_MILLIS;
-        clientFrontend.startDraining(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(remainingMillis));
+    private void drainConnections(DrainPolicy drainPolicy) {
+        long remainingMillis = drainPolicy.millisUntilEnd(System.nanoTime());
+        clientFrontend.startDraining(drainPolicy);
+        requestTable.startDraining(drainPolicy);
         if (listenerInherited) {
             clientFrontend.releaseListener();
             clientFrontend.whenAllClosed(() -> requestTable.whenEmpty(this::shutDown));
--- a/proxy/src/main/java/dockrelay/proxy/RequestTable.java
+++ b/proxy/src/main/java/dockrelay/proxy/RequestTable.java
@@ -83,6 +83,7 @@
     private final Deque<Event> queuedEvents = new ArrayDeque<>();
     private boolean dispatching;
     private boolean logsRequests = true;
+    private DrainPolicy drainPolicy; // null until this process is asked to stop
     private Balancer decisionModule;
     private Runnable subscribeCallback;
     private Consumer<String> broadcastCallback;
@@ -100,6 +101,11 @@
             present.run();
         }
 
+        /** Whether the system can keep so many bytes of an answer until the client reads them. */
+        default boolean reserveSendBuffer(long bytes) {
+            return true;
+        }
+
         /** Begins a streamed response, whose body this writer forwards. */
         default void beginStreaming(HttpResponse head, Body body) {
             body.discard();
@@ -139,6 +145,7 @@
         final ResponseWriter responseWriter;
         long deadlineMicros;
         long receivedAtMicros, responseStartMicros; // received: when the client can have written the end
+        OptionalLong readNanos = OptionalLong.empty(); // when the end of the request was read
         BackendConnectionPool.Exchange streamingExchange;
         final List<BackendConnectionPool.Exchange> attempts = new ArrayList<>(2);
         Future<?> timer, windowTimer;
@@ -264,6 +271,7 @@
     /** Accepts a request whose last byte may have arrived this long ago, in microseconds. */
     void accept(Request request, FullHttpRequest message, long ageMicros, ResponseWriter responseWriter) {
         Entry entry = new Entry(request, message, null, null, responseWriter);
+        entry.readNanos = OptionalLong.of(System.nanoTime());
         startDeadline(entry, ageMicros);
         accept(entry);
     }
@@ -297,6 +305,7 @@
     void requestReceived(String requestId) {
         Entry entry = entries.get(requestId);
         if (entry != null && entry.arrival != null && !entry.answered) {
+            entry.readNanos = OptionalLong.of(System.nanoTime());
             entry.receivedAtMicros = clockMicros.getAsLong() - entry.arrival.maxMicrosSinceEnd();
             entry.deadlineMicros = entry.receivedAtMicros + entry.request.timeBudget();
             cancelTimer(entry);
@@ -365,6 +374,25 @@
         }
     }
 
+    /** From now on answers are passed on as this policy permits. */
+    void startDraining(DrainPolicy policy) {
+        drainPolicy = policy;
+    }
+
+    private DrainPolicy.AnswerMode answerMode(Entry entry) {
+        return drainPolicy == null ? DrainPolicy.AnswerMode.STREAMED
+            : drainPolicy.answerMode(entry.readNanos.orElseGet(System::nanoTime));
+    }
+
+    /** Fails a request whose answer can't be passed on before this process may be killed. */
+    private void failUndeliverable(Entry entry) {
+        counters.increment(Count.UNDELIVERABLE);
+        finish(entry, emptyResponse(HttpResponseStatus.BAD_GATEWAY));
+        dispatch(entry, () ->
+            decisionModule.onClientDisconnected(clockMicros.getAsLong(), entry.request.id()));
+        cancelUnsentAttempts(entry);
+    }
+
     /** The client has closed its connection, so that no response is due any more. */
     void clientDisconnected(String requestId) {
         Entry entry = entries.get(requestId);
@@ -642,6 +670,21 @@
                     RequestTable.this.streamingStarted(entry, attempt, backend, nowMicros, head, body);
                 }
 
+                @Override
+                public DrainPolicy.AnswerMode answerMode() {
+                    return RequestTable.this.answerMode(entry);
+                }
+
+                @Override
+                public boolean reserveSendBuffer(long bytes) {
+                    return entry.responseWriter.reserveSendBuffer(bytes);
+                }
+
+                @Override
+                public void onUndeliverable() {
+                    failUndeliverable(entry);
+                }
+
                 @Override
                 public void whenClientPresent(Runnable present, Runnable unknown) {
                     entry.responseWriter.whenClientPresent(present, unknown);
--- a/proxy/src/main/java/dockrelay/proxy/TransferMemory.java
+++ b/proxy/src/main/java/dockrelay/proxy/TransferMemory.java
@@ -9,9 +9,9 @@
  * machine: the caller tells what is in use, and carries out the decisions.
  *
  * <p>Invariant: a transfer whose receiver has taken everything read so far may always read on, whatever the
- * memory in use. So each transfer that has begun is limited by its two peers alone. A transfer that waits (for
- * a receiver, for a reservation, or to learn whether its client is still there) may only use memory that
- * these do not need: it waits for transfers that have begun, and none of those ever waits for it.
+ * memory in use. So each transfer that has begun is limited by its two peers alone. A transfer that waits
+ * (for a receiver, for a reservation, or to learn whether its client is still there) may only use memory
+ * that these do not need: it waits for transfers that have begun, and none of those ever waits for it.
  *
  * <p>The memory in use exceeds the limit by one short read for each transfer that has begun, at most, plus
  * what was read in the event in which the limit was reached.
--- a/proxy/src/test/java/dockrelay/proxy/ProxyProcess.java
+++ b/proxy/src/test/java/dockrelay/proxy/ProxyProcess.java
@@ -51,6 +51,11 @@
             .replaceFirst("\"seed\":\"[0-9a-f]*\"", "\"seed\":\"" + seed + "\""));
     }
 
+    /** The text of the configuration. */
+    String configuration() throws IOException {
+        return Files.readString(folder.resolve(CONFIG_FILE));
+    }
+
     /** Overwrites the configuration with this text. */
     void configure(String text) throws IOException {
         Files.writeString(folder.resolve(CONFIG_FILE), text);
@@ -59,6 +64,11 @@
     /** Writes the configuration and starts the process. */
     void start(int discoveryPort, String knownEntries, String settings) throws IOException {
         configure(discoveryPort, knownEntries, settings);
+        start();
+    }
+
+    /** Starts the process by the configuration that was written last. */
+    void start() throws IOException {
         ProcessBuilder builder = new ProcessBuilder(
             ProcessHandle.current().info().command().orElseThrow(), "-Xmx64m", "-XX:TieredStopAtLevel=1",
             "-XX:+ExitOnOutOfMemoryError", "-cp",
