Count a first request from its connect until the event loop has looked for it

Cause: a first read counted from the connect only within 25 ms of the accept. Where the event loop is held up between the accept and the read as well, as on a busy host, a heartbeat in between made the request look as if it had just come: it got too much time, and counted as proof that its client was there.

Change: the heartbeats since the accept are counted; only after two of them has the event loop surely looked for input.

Result: InputObserverTest fails before (at one beat) and passes.

--- a/proxy/src/main/java/dockrelay/proxy/InputObserver.java
+++ b/proxy/src/main/java/dockrelay/proxy/InputObserver.java
@@ -7,15 +7,15 @@
 final class InputObserver extends ChannelInboundHandlerAdapter {
     private final ClientInput input;
     private final LoopHeartbeat heartbeat;
-    private final long acceptedNanos = System.nanoTime();
-    private final long earliestConnectNanos;
+    private final long earliestConnectNanos, beatCountAtAccept;
     private boolean hasRead;
 
     /** Observes a connection that has just been accepted. */
     InputObserver(ClientInput input, LoopHeartbeat heartbeat) {
         this.input = input;
         this.heartbeat = heartbeat;
-        earliestConnectNanos = heartbeat.earliestArrivalNanos(acceptedNanos);
+        earliestConnectNanos = heartbeat.earliestArrivalNanos(System.nanoTime());
+        beatCountAtAccept = heartbeat.beatCount();
     }
 
     @Override
@@ -24,9 +24,12 @@
         context.fireChannelRead(data);
     }
 
-    /** What is read right after a connection was accepted may have waited as long as the connection. */
+    /**
+     * What is read before the event loop has looked for input since it accepted the connection may have
+     * waited as long as the connection.
+     */
     private long earliestArrivalNanos(long nowNanos) {
-        boolean afterAccept = !hasRead && nowNanos - acceptedNanos <= LoopHeartbeat.INTERVAL_NANOS;
+        boolean afterAccept = !hasRead && heartbeat.beatCount() - beatCountAtAccept <= 1;
         hasRead = true;
         return afterAccept ? earliestConnectNanos : heartbeat.earliestArrivalNanos(nowNanos);
     }
--- a/proxy/src/main/java/dockrelay/proxy/LoopHeartbeat.java
+++ b/proxy/src/main/java/dockrelay/proxy/LoopHeartbeat.java
@@ -14,12 +14,22 @@
     private static final long TIMER_TOLERANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
 
     private long lastBeatNanos = System.nanoTime();
+    private long beatCount;
 
     /** Starts the heartbeat, which ends with the event loop. */
     void start(EventExecutor eventLoop) {
         lastBeatNanos = System.nanoTime();
-        eventLoop.scheduleWithFixedDelay(() -> lastBeatNanos = System.nanoTime(), INTERVAL_MILLIS,
-            INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        eventLoop.scheduleWithFixedDelay(this::beat, INTERVAL_MILLIS, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void beat() {
+        lastBeatNanos = System.nanoTime();
+        beatCount++;
+    }
+
+    /** The number of beats so far. Between two of them the event loop reads all connections with input. */
+    long beatCount() {
+        return beatCount;
     }
 
     /** The earliest time at which input can have arrived that the event loop handles now. */
