Read the connection of a rejected head on at once

A rejected request without a declared body counted as one of which much is to be discarded; its connection was read in turns, so that its client's close, and with it the memory of its head, was noticed some milliseconds later. Only a declared length or a chunked body counts.

--- a/proxy/src/main/java/dockrelay/proxy/ClientFrontend.java
+++ b/proxy/src/main/java/dockrelay/proxy/ClientFrontend.java
@@ -918,9 +918,12 @@
 
         /** Whether more of the request may be on its way than the system keeps of it. */
         private boolean isMuchLeftToDiscard() {
-            return requestHead != null
-                && HttpUtil.getContentLength(requestHead, Long.MAX_VALUE) - receivedBytes
-                    > UploadMonitor.MAX_UNREAD_HERE_BYTES;
+            if (requestHead == null) {
+                return false;
+            }
+            long undeclaredBytes = HttpUtil.isTransferEncodingChunked(requestHead) ? Long.MAX_VALUE : 0;
+            return HttpUtil.getContentLength(requestHead, undeclaredBytes) - receivedBytes
+                > UploadMonitor.MAX_UNREAD_HERE_BYTES;
         }
 
         /** Notes whether the input is empty now, after the decoder has handled what was read. */
