Sample the memory in use instead of adding it up at each read

Since transfers ask for their permit at each read, the allocator's chunks were added up, under its lock, up to four times a read.

--- a/proxy/src/main/java/dockrelay/proxy/BufferLimit.java
+++ b/proxy/src/main/java/dockrelay/proxy/BufferLimit.java
@@ -51,8 +51,8 @@
 
     /** A limit on the direct memory that an allocator has reserved in chunks, whether or not it is filled. */
     static BufferLimit forAllocator(PooledByteBufAllocator allocator, int memoryMegabytes) {
-        return new BufferLimit(() -> allocator.metric().usedDirectMemory(), allocator::pinnedDirectMemory,
-            memoryMegabytes);
+        return new BufferLimit(new SampledGauge(() -> allocator.metric().usedDirectMemory()),
+            new SampledGauge(allocator::pinnedDirectMemory), memoryMegabytes);
     }
 
     /**
