--- a/proxy/src/main/java/dockrelay/proxy/BufferLimit.java
+++ b/proxy/src/main/java/dockrelay/proxy/BufferLimit.java
@@ -114,7 +114,8 @@
         private final Channel channel;
         private final PauseListener pauseListener;
         private final Supplier<Stage> stage;
-        private boolean demand, recheckScheduled, shortReadPending;
+        private boolean demand, recheckScheduled;
+        private boolean reading = true; // or a short read has been asked for
 
         /** Flow control for a transfer whose receiver is not known to have taken everything at any time. */
         FlowControl(Channel channel, PauseListener pauseListener) {
@@ -149,8 +150,8 @@
         }
 
         private void apply(Permit permit) {
-            boolean wasReading = channel.config().isAutoRead() || shortReadPending;
-            boolean reading = permit != Permit.NONE;
+            boolean wasReading = reading;
+            reading = permit != Permit.NONE;
             if (reading && !wasReading) {
                 pauseListener.onResumed();
             } else if (!reading && wasReading) {
@@ -160,15 +161,13 @@
             if (channel.config().isAutoRead() != continuous) {
                 channel.config().setAutoRead(continuous);
             }
-            if (permit == Permit.ONE_SHORT_READ && !shortReadPending) {
-                channel.read(); // without automatic reading a single one
+            if (permit == Permit.ONE_SHORT_READ) {
+                channel.read(); // without automatic reading a single one; without effect if it is pending
             }
-            shortReadPending = permit == Permit.ONE_SHORT_READ;
         }
 
         /** Called after each read: pauses reading if memory has become short. */
         void afterRead() {
-            shortReadPending = false;
             if (demand) {
                 setReadEnabled(true);
             }
