--- a/proxy/src/main/java/dockrelay/proxy/BackendConnectionPool.java
+++ b/proxy/src/main/java/dockrelay/proxy/BackendConnectionPool.java
@@ -36,16 +36,12 @@
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
 /**
  * Pool of persistent connections to the backends, bounded in total, with one request at a time on each. A
@@ -85,7 +81,6 @@
      * longer.
      */
     private static final long STALL_TIMEOUT_SECONDS = 10;
-    private static final Pattern LOAD_VALUE_PATTERN = Pattern.compile("(\\w+)=(\\d{1,12}(?:\\.\\d{1,12})?)");
 
     private final Bootstrap bootstrap;
     private final EventLoop eventLoop;
@@ -656,7 +651,7 @@
                 }
             }
             complete(outcome, response == null ? null
-                : parseLoadReport(response.headers().get(Headers.SERVER_LOAD)), response);
+                : LoadReportParser.parse(response.headers().get(Headers.SERVER_LOAD)), response);
         }
 
         private void complete(Outcome outcome, LoadReport report, FullHttpResponse response) {
@@ -874,7 +869,7 @@
         /** Completes the exchange with the last content of a streamed response. */
         private void finish(ChannelHandlerContext context, Body body, HttpContent last) {
             Exchange exchange = currentExchange;
-            LoadReport report = parseLoadReport(responseHead.headers().get(Headers.SERVER_LOAD));
+            LoadReport report = LoadReportParser.parse(responseHead.headers().get(Headers.SERVER_LOAD));
             releaseConnection(context);
             body.add(last);
             if (!exchange.ended) {
@@ -992,27 +987,4 @@
         boolean notProcessed = "1".equals(response.headers().get("X-Not-Processed"));
         return (status == 503 || status == 504) && notProcessed ? Outcome.REJECTED : Outcome.ERROR;
     }
-
-    /**
-     * Parses a load report such as {@code TEXT inflight=7, queue=2}; null for null. Missing values are NaN.
-     */
-    static LoadReport parseLoadReport(String text) {
-        if (text == null) {
-            return null;
-        }
-        Map<String, Double> values = new HashMap<>();
-        Matcher matcher = LOAD_VALUE_PATTERN.matcher(text);
-        while (matcher.find()) {
-            values.put(matcher.group(1), Double.parseDouble(matcher.group(2)));
-        }
-        return new LoadReport(loadValue(values, "inflight", "outstanding"),
-            loadValue(values, "queue", "backlog"), loadValue(values, "util", "utilization"),
-            loadValue(values, "latency_ms", "recent_ms"), loadValue(values, "qps", "throughput"),
-            loadValue(values, "eps", "errors_per_s"));
-    }
-
-    /** A value that is sent under either of two names, the protocol's or the simulator's. */
-    private static double loadValue(Map<String, Double> values, String name, String alias) {
-        return values.getOrDefault(name, values.getOrDefault(alias, Double.NaN));
-    }
 }
--- a/proxy/src/test/java/dockrelay/proxy/RequestTableTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/RequestTableTest.java
@@ -232,12 +232,12 @@
     @Test
     void missingLoadReportValuesAreNaN() {
         Balancer.LoadReport loadReport =
-            BackendConnectionPool.parseLoadReport("TEXT inflight=7, queue=2, util=0.61, odd=x");
+            LoadReportParser.parse("TEXT inflight=7, queue=2, util=0.61, odd=x");
         assertEquals(7, loadReport.outstanding());
         assertEquals(2, loadReport.queued());
         assertEquals(0.61, loadReport.utilization());
         assertTrue(Double.isNaN(loadReport.latencyMs()));
-        assertNull(BackendConnectionPool.parseLoadReport(null));
+        assertNull(LoadReportParser.parse(null));
     }
 
     @Test
