--- a/proxy/src/test/java/dockrelay/proxy/AnswerCutByRestartTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/AnswerCutByRestartTest.java
@@ -7,7 +7,6 @@
 import dockrelay.proxy.Fakes.FakeDiscovery;
 import java.io.IOException;
 import java.io.InputStream;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -35,7 +34,7 @@
     private Path folder;
     private ProxyProcess proxy;
 
-    /** How an answer ended: its status, 0 if the connection was closed before it, and whether it was whole. */
+    /** How an answer ended: its status, 0 if the connection was closed first, and whether it was whole. */
     private record Answer(int status, boolean whole) {
         boolean isLost() {
             return status != 0 && !whole;
@@ -98,7 +97,7 @@
         }
     }
 
-    /** Sends one request on each of some open connections, from 0.75 s after SIGTERM on, and kills in time. */
+    /** Sends a request on each of some open connections, from 0.75 s after SIGTERM on, and kills in time. */
     private List<Answer> restart(int length, long bytesPerSecond) throws Exception {
         List<FakeClient> connections = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
--- a/proxy/src/test/java/dockrelay/proxy/TransferMemorySimulation.java
+++ b/proxy/src/test/java/dockrelay/proxy/TransferMemorySimulation.java
@@ -45,7 +45,8 @@
         this.seed = seed;
         this.rule = rule;
         random = new SplittableRandom(seed);
-        limitBytes = (long) logUniform(MIN_MEMORY_MEGABYTES, MAX_MEMORY_MEGABYTES) * MEGABYTE / BUFFER_DIVISOR;
+        long memoryMegabytes = (long) logUniform(MIN_MEMORY_MEGABYTES, MAX_MEMORY_MEGABYTES);
+        limitBytes = memoryMegabytes * MEGABYTE / BUFFER_DIVISOR;
         cutMillis = random.nextBoolean() ? random.nextInt(LAST_ARRIVAL_MILLIS) : Long.MAX_VALUE;
         slowSinkShare = random.nextBoolean() ? 0.5 : 0.95;
         memory = new TransferMemory(this::usedBytes, this::usedBytes, limitBytes);
@@ -76,7 +77,7 @@
         }
         for (Transfer transfer : transfers) {
             if (!transfer.begun && !transfer.ended) {
-                violate("a transfer still waits " + (nowMillis - transfer.arrivalMillis) + " ms after it came");
+                violate("a transfer that came at " + transfer.arrivalMillis + " ms still waits");
             }
             transfer.end();
         }
