Tell a backend the time that is left when an upload's attempt is sent

Cause: the time for the backend was written into a streamed request as its attempt was made.

Change: the pool asks for the time that is left as it sends the first byte of any request, and doesn't send one that has none.

--- a/proxy/src/main/java/dockrelay/proxy/BackendConnectionPool.java
+++ b/proxy/src/main/java/dockrelay/proxy/BackendConnectionPool.java
@@ -131,6 +131,14 @@
             present.run();
         }
 
+        /**
+         * The time that is left for a streamed request, in microseconds. It may have waited long
+         * for a connection or for its client's presence.
+         */
+        default long remainingMicros() {
+            return Long.MAX_VALUE;
+        }
+
         /**
          * Called right before the first byte is sent, which a slow connect may have delayed; false cancels
          * it.
@@ -476,6 +484,11 @@
                 end(Outcome.NOT_SENT, null);
                 return;
             }
+            long remainingMicros = Math.min(timeoutMicros, listener.remainingMicros());
+            if (body != null && remainingMicros <= 0) {
+                end(Outcome.NOT_SENT, null);
+                return;
+            }
             connection.currentExchange = this;
             sendStarted = true;
             sendStartNanos = System.nanoTime();
@@ -486,6 +499,7 @@
                 channel.writeAndFlush(ReferenceCountUtil.retain(request)).addListener(this::writeFinished);
                 return;
             }
+            Headers.setTimeout(request, remainingMicros);
             channel.write(request).addListener(done -> {
                 if (!done.isSuccess()) {
                     writeFinished(done);
--- a/proxy/src/main/java/dockrelay/proxy/RequestTable.java
+++ b/proxy/src/main/java/dockrelay/proxy/RequestTable.java
@@ -663,13 +663,18 @@
         entry.attempts.add(null);
         entry.openAttempts++;
         BackendConnectionPool.Exchange exchange = connectionPool.send(backend,
-            toBackendRequest(entry, remainingMicros), entry.body, remainingMicros,
+            toBackendRequest(entry), entry.body, remainingMicros,
             new BackendConnectionPool.ExchangeListener() {
                 @Override
                 public void onStreamStart(HttpResponse head, Body body) {
                     RequestTable.this.streamingStarted(entry, attempt, backend, nowMicros, head, body);
                 }
 
+                @Override
+                public long remainingMicros() {
+                    return attemptDeadline(entry.request.timeBudget()) - microsSinceEnd(entry);
+                }
+
                 @Override
                 public DrainPolicy.AnswerMode answerMode() {
                     return RequestTable.this.answerMode(entry);
@@ -705,7 +710,7 @@
     }
 
     /** The request as sent to the backend: unchanged except for hop-by-hop headers and framing. */
-    private static HttpRequest toBackendRequest(Entry entry, long remainingMicros) {
+    private static HttpRequest toBackendRequest(Entry entry) {
         FullHttpRequest message = entry.message;
         HttpHeaders headers = message.headers().copy();
         HttpRequest copy = entry.body != null
@@ -718,10 +723,7 @@
         } else if (message.content().isReadable() || !HttpMethod.GET.equals(message.method())) {
             copy.headers().set(HttpHeaderNames.CONTENT_LENGTH, message.content().readableBytes());
         }
-        if (entry.body != null) {
-            Headers.setTimeout(copy, remainingMicros); // for a buffered request the pool sets it when writing
-        }
-        return copy;
+        return copy; // the pool states the time that is left as it writes the request
     }
 
     @Override
