--- a/proxy/src/test/java/dockrelay/proxy/InheritedSocketProcess.java
+++ b/proxy/src/test/java/dockrelay/proxy/InheritedSocketProcess.java
@@ -9,17 +9,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
 /**
  * A proxy that is started by the {@code run} line of a checkout's deploy file, with a listening socket of the
  * platform as its standard input.
  */
 final class InheritedSocketProcess implements AutoCloseable {
-    private static final Pattern RUN_LINE = Pattern.compile("(?m)^run = \"(.*)\"$");
-    private static final Pattern PEAK_MEMORY_LINE = Pattern.compile("(?m)^VmHWM:\\s+(\\d+) kB$");
-    private static final long KILOBYTES_PER_MEGABYTE = 1024;
     private static final int MEMORY_MEGABYTES = 192;
 
     /** The functions of the C library that are used here. */
@@ -52,11 +47,7 @@
             .replace("\"Aim\":1.0,\"HardLimit\":5.0", serviceFigures).replace("\"MemorySpan\":5.0",
                 "\"MemorySpan\":0.6")
             .replace("\"limits\":{", "\"limits\":{\"cores\":1.0,\"memory_mb\":" + MEMORY_MEGABYTES + ","));
-        Matcher run = RUN_LINE.matcher(Files.readString(checkout.resolve("deploy/balancer.toml")));
-        if (!run.find()) {
-            throw new IOException("no run line in " + checkout);
-        }
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run.group(1));
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", RunLine.read(checkout));
         builder.directory(checkout.toFile());
         builder.environment().put("PROXY_CONFIG", config.toString());
         builder.environment().put("PROXY_SOCKET_FD", "0");
@@ -116,9 +107,7 @@
 
     /** The most memory that the process has held so far, in megabytes; 0 if it has ended. */
     long peakMemoryMegabytes() throws IOException {
-        Path status = Path.of("/proc/" + process.pid() + "/status");
-        Matcher matcher = PEAK_MEMORY_LINE.matcher(Files.exists(status) ? Files.readString(status) : "");
-        return matcher.find() ? Long.parseLong(matcher.group(1)) / KILOBYTES_PER_MEGABYTE : 0;
+        return ProcessMemory.peakMegabytes(process.pid());
     }
 
     String readLog() throws IOException {
--- a/proxy/src/test/java/dockrelay/proxy/ProxyProcess.java
+++ b/proxy/src/test/java/dockrelay/proxy/ProxyProcess.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
@@ -69,11 +70,31 @@
 
     /** Starts the process by the configuration that was written last. */
     void start() throws IOException {
-        ProcessBuilder builder = new ProcessBuilder(
+        start(new ProcessBuilder(
             ProcessHandle.current().info().command().orElseThrow(), "-Xmx64m", "-XX:TieredStopAtLevel=1",
-            "-XX:+ExitOnOutOfMemoryError", "-cp",
-            System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
-            Main.class.getName(), "serve");
+            "-XX:+ExitOnOutOfMemoryError", "-cp", testClassPath(), Main.class.getName(), "serve"));
+    }
+
+    /**
+     * Starts the process by the {@code run} line of a checkout's deploy file, and by the configuration that
+     * was written last.
+     *
+     * @param packaged whether the checkout's jar is started, in place of the classes of this test run
+     */
+    void startByRunLine(Path checkout, boolean packaged) throws IOException {
+        String runLine = RunLine.read(checkout);
+        if (!packaged) {
+            runLine = runLine.replace("-jar " + RunLine.JAR,
+                "-cp '" + testClassPath() + "' " + Main.class.getName());
+        }
+        start(new ProcessBuilder("/bin/sh", "-c", runLine).directory(checkout.toFile()));
+    }
+
+    private static String testClassPath() {
+        return System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+    }
+
+    private void start(ProcessBuilder builder) throws IOException {
         builder.environment().put("PROXY_CONFIG", folder.resolve(CONFIG_FILE).toString());
         builder.environment().remove("TMPDIR");
         builder.redirectErrorStream(true);
@@ -95,6 +116,25 @@
         return new Fakes.FakeClient(new Socket(host, port));
     }
 
+    /** A client that waits this long for an answer. */
+    Fakes.FakeClient connectClient(int readTimeoutMillis) throws IOException {
+        return new Fakes.FakeClient(new Socket(host, port), readTimeoutMillis);
+    }
+
+    InetSocketAddress address() {
+        return new InetSocketAddress(host, port);
+    }
+
+    /** The most memory that the process has held so far, in megabytes; 0 if it has ended. */
+    long peakMemoryMegabytes() throws IOException {
+        return ProcessMemory.peakMegabytes(process.pid());
+    }
+
+    /** The memory that the process holds, in megabytes; 0 if it has ended. */
+    long residentMegabytes() throws IOException {
+        return ProcessMemory.residentMegabytes(process.pid());
+    }
+
     String readLog() {
         try {
             return Files.readString(folder.resolve("log"));
