Let go of a closed client connection at once instead of at its timer

Callers saw the process end with status 3, out of heap, when hundreds of clients connected again at once. Cause: the task that closes a connection half a second (2.5 s behind an incomplete request) after its last response named the connection, and was left scheduled when the client closed first; the decoder kept the head of a rejected request meanwhile, and the queue of rejected bodies kept closed channels until their turn. The account of heads let go when the connection closed, so that it said 3 MB while the heap was full. Change: LingeringClose takes the place of the decoder behind the last response, so that no head is held from then on; its timer is cancelled and its place in the queue given up when the connection closes. A timer of a request is not started again on a closed connection.

--- a/proxy/src/main/java/dockrelay/proxy/ClientFrontend.java
+++ b/proxy/src/main/java/dockrelay/proxy/ClientFrontend.java
@@ -15,7 +15,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.SocketChannelConfig;
 import io.netty.handler.codec.CodecException;
@@ -56,11 +55,6 @@
  * event loop's thread.
  */
 final class ClientFrontend {
-    /**
-     * How long a connection is still read after its last response was sent. Closing a socket with unread
-     * bytes resets it, and the client may then lose the response.
-     */
-    private static final long LINGER_MILLIS = 500;
     /**
      * Above this share of the connection limit, each response closes the connection that has been idle
      * longest or, if none has been idle long enough, its own connection.
@@ -71,11 +65,6 @@
         TimeUnit.MILLISECONDS.toNanos(RequestTimeout.HEAD_TIMEOUT_MILLIS);
     /** How long an idle connection whose output was shut down waits for the client to close its side. */
     private static final long IDLE_LINGER_MILLIS = 100;
-    /**
-     * The linger time if the last response was sent before its request had arrived completely: the rest of
-     * the upload that is already under way is read and discarded first.
-     */
-    private static final long UPLOAD_LINGER_MILLIS = 2_500;
     /**
      * At the connection limit, a connection that has sent nothing for this long, in the middle of a request
      * or before its first one, is closed to make room. A slow client, which may take 2 s for a request head,
@@ -473,7 +462,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject httpObject) {
             if (closing) {
-                discard(httpObject);
+                drop(httpObject);
             } else if (inFlightId != null && upload == null) {
                 queuePipelined(httpObject);
             } else {
@@ -507,8 +496,7 @@
             releasePipelined();
             if (NEXT_REQUEST.equals(inFlightId)) {
                 inFlightId = null;
-                closing = true;
-                closeAfterLinger();
+                beginClose().closeOutput();
             }
         }
 
@@ -540,32 +528,19 @@
                 closeScheduled = false;
                 if (hasNoRequestInFlight() && channel.isActive()
                     && (evenIfPartial || requestHead == null && !requestTimeout.isRequestIncomplete())) {
-                    closing = true;
                     dropRequest();
-                    closeAfterLinger(IDLE_LINGER_MILLIS);
+                    beginClose().closeOutput(IDLE_LINGER_MILLIS);
                 }
             }, 1, TimeUnit.MILLISECONDS);
         }
 
-        /**
-         * Discards input that arrives after the last response. It has to be read, because closing a socket
-         * with unread bytes resets it and the client may lose the response.
-         */
-        private void discard(HttpObject httpObject) {
-            drop(httpObject);
-            if (httpObject instanceof LastHttpContent && requestHead != null) {
-                requestHead = null;
-                channel.eventLoop().execute(this::closeAfterLinger);
-            }
-        }
-
         private void handle(HttpObject httpObject) {
             if (httpObject instanceof HttpRequest newHead) {
                 handleHead(newHead);
             }
             if (httpObject instanceof HttpContent content) {
                 if (requestHead == null || closing) {
-                    discard(content);
+                    drop(content);
                 } else if (content.decoderResult().isFailure()) {
                     content.release();
                     Throwable cause = content.decoderResult().cause();
@@ -864,13 +839,13 @@
                 latestHead = null;
             }
             if (lastResponse || !keepAlive) {
-                closing = true;
                 if (upload != null) {
                     upload.body().release();
                     upload.stop();
                     upload = null;
                 }
-                writeFuture.addListener((ChannelFutureListener) done -> closeAfterLinger());
+                LingeringClose close = beginClose();
+                writeFuture.addListener((ChannelFutureListener) done -> close.closeOutput());
             } else if (!pipeline.isEmpty()) {
                 // Scheduled rather than called, so that a long pipeline does not deepen the stack.
                 inFlightId = NEXT_REQUEST;
@@ -886,44 +861,33 @@
                 return;
             }
             inFlightId = null;
-            while (!pipeline.isEmpty() && (closing || inFlightId == null || upload != null)) {
-                if (closing) {
-                    discard(pipeline.remove());
-                } else {
-                    handle(pipeline.remove());
-                }
+            while (!pipeline.isEmpty() && (inFlightId == null || upload != null)) {
+                handle(pipeline.remove());
             }
-            if (pipeline.isEmpty()) {
+            if (pipeline.isEmpty() && !closing) {
                 channel.config().setAutoRead(true);
             }
         }
 
-        private void closeAfterLinger() {
-            closeAfterLinger(requestHead == null ? LINGER_MILLIS : UPLOAD_LINGER_MILLIS);
-        }
-
-        private void closeAfterLinger(long lingerMillis) {
-            if (channel instanceof DuplexChannel duplex && channel.isActive()) {
-                duplex.shutdownOutput();
-                if (isMuchLeftToDiscard()) {
-                    discardQueue.add(channel);
-                } else {
-                    channel.config().setAutoRead(true);
-                }
-                channel.eventLoop().schedule(() -> channel.close(), lingerMillis, TimeUnit.MILLISECONDS);
-            } else {
-                channel.close();
-            }
+        /** No further request is read, and nothing is held of those that were. */
+        private LingeringClose beginClose() {
+            closing = true;
+            LingeringClose close = new LingeringClose(channel, discardQueue, missingBytes());
+            close.replaceDecoder(HttpServerCodec.class);
+            releasePipelined();
+            requestHead = null;
+            latestHead = null;
+            heads.close();
+            return close;
         }
 
-        /** Whether more of the request may be on its way than the system keeps of it. */
-        private boolean isMuchLeftToDiscard() {
+        /** How much of the request that is being received is still to come. */
+        private long missingBytes() {
             if (requestHead == null) {
-                return false;
+                return 0;
             }
-            long undeclaredBytes = HttpUtil.isTransferEncodingChunked(requestHead) ? Long.MAX_VALUE : 0;
-            return HttpUtil.getContentLength(requestHead, undeclaredBytes) - receivedBytes
-                > UploadMonitor.MAX_UNREAD_HERE_BYTES;
+            return HttpUtil.isTransferEncodingChunked(requestHead) ? LingeringClose.UNKNOWN_LENGTH
+                : Math.max(0, HttpUtil.getContentLength(requestHead, 0L) - receivedBytes);
         }
 
         /** Notes whether the input is empty now, after the decoder has handled what was read. */
--- a/proxy/src/main/java/dockrelay/proxy/DiscardQueue.java
+++ b/proxy/src/main/java/dockrelay/proxy/DiscardQueue.java
@@ -2,8 +2,9 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -17,7 +18,7 @@
     private static final int READS_PER_TICK = 4;
 
     private final EventLoop eventLoop;
-    private final Deque<Channel> channels = new ArrayDeque<>();
+    private final Set<Channel> channels = new LinkedHashSet<>(); // next turn first
     private boolean scheduled;
 
     DiscardQueue(EventLoop eventLoop) {
@@ -31,6 +32,11 @@
         schedule();
     }
 
+    /** Forgets a connection that has been closed. */
+    void remove(Channel channel) {
+        channels.remove(channel);
+    }
+
     private void schedule() {
         if (!scheduled && !channels.isEmpty()) {
             scheduled = true;
@@ -41,7 +47,12 @@
     private void tick() {
         scheduled = false;
         for (int turns = Math.min(READS_PER_TICK, channels.size()); turns > 0; turns--) {
-            Channel channel = channels.remove();
+            Iterator<Channel> next = channels.iterator();
+            if (!next.hasNext()) {
+                break; // a read has closed one of them
+            }
+            Channel channel = next.next();
+            next.remove();
             if (channel.isActive() && !channel.config().isAutoRead()) {
                 channel.read(); // without automatic reading a single one
                 channels.add(channel);
--- a/proxy/src/main/java/dockrelay/proxy/RequestTimeout.java
+++ b/proxy/src/main/java/dockrelay/proxy/RequestTimeout.java
@@ -57,7 +57,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext channelContext) {
-        if (incomplete && timer == null) {
+        if (incomplete && timer == null && channelContext.channel().isActive()) {
             startTimer(HEAD_TIMEOUT_MILLIS);
         }
         channelContext.fireChannelReadComplete();
