Hold no copies of a request's head in attempts that wait or have ended

Callers saw the process end with status 3, out of heap. Cause: each attempt copied the head when the module decided on it, also one that no connection was free for, and kept the copy until its request had no attempt left: up to six copies a request where backend connections ran out. A request whose client had left kept the client's connection and its head until its attempts ended, and the timer of a response of unknown length kept both after the response. Change: the head is copied as it is written (RequestSource); a request lets go of its message and of its client once it is answered or the client has left; the timer is cancelled with its response.

--- a/proxy/src/main/java/dockrelay/proxy/BackendConnectionPool.java
+++ b/proxy/src/main/java/dockrelay/proxy/BackendConnectionPool.java
@@ -96,60 +96,6 @@
     private boolean unreadableSeen;
     private long lastUnreadableNanos; // when a response last could not be parsed
 
-    /**
-     * Is called once when an exchange ends. A buffered response is passed with the outcome OK only, and the
-     * listener releases it.
-     */
-    interface ExchangeListener {
-        /**
-         * A successful response that is too long to be buffered begins. When its body ends, the outcome OK
-         * follows without a response.
-         */
-        default void onStreamStart(HttpResponse head, Body body) {
-            body.discard();
-        }
-
-        /** How a successful response that is too long to be buffered is to be passed on. */
-        default AnswerMode answerMode() {
-            return AnswerMode.STREAMED;
-        }
-
-        /** Whether the system can keep so many bytes of a response for the client, before it is buffered. */
-        default boolean reserveSendBuffer(long bytes) {
-            return true;
-        }
-
-        /** A response is too long to be passed on as {@link #answerMode} demands; the outcome follows. */
-        default void onUndeliverable() {
-        }
-
-        /**
-         * Called once a connection is there. Runs the first action when it is known that the client is still
-         * connected, and the second one if that can't be found out.
-         */
-        default void whenClientPresent(Runnable present, Runnable unknown) {
-            present.run();
-        }
-
-        /**
-         * The time that is left for a streamed request, in microseconds. It may have waited long
-         * for a connection or for its client's presence.
-         */
-        default long remainingMicros() {
-            return Long.MAX_VALUE;
-        }
-
-        /**
-         * Called right before the first byte is sent, which a slow connect may have delayed; false cancels
-         * it.
-         */
-        default boolean maySend() {
-            return true;
-        }
-
-        void onEnd(Outcome outcome, LoadReport report, FullHttpResponse response);
-    }
-
     /** The connection state of a backend that requests have been sent to. */
     private static final class BackendState {
         final long id;
@@ -312,14 +258,14 @@
 
     /** Sends a completely buffered request at once or not at all; the timeout is in microseconds. */
     Exchange send(long backendId, FullHttpRequest request, long timeoutMicros, ExchangeListener listener) {
-        return send(backendId, request, null, timeoutMicros, listener);
+        return send(backendId, RequestSource.of(request), null, timeoutMicros, listener);
     }
 
     /**
      * Sends a request. If it has a body, this is streamed as it arrives, and the timeout (in microseconds)
      * starts at its end.
      */
-    Exchange send(long backendId, HttpRequest request, Body body, long timeoutMicros,
+    Exchange send(long backendId, RequestSource request, Body body, long timeoutMicros,
                   ExchangeListener listener) {
         BackendState backend = stateOf(backendId);
         Exchange exchange = new Exchange(backend, request, body, timeoutMicros, listener);
@@ -430,7 +376,7 @@
     /** One attempt to send a request to a backend, up to its outcome. */
     final class Exchange implements Body.Sink {
         private final BackendState backend;
-        private final HttpRequest request;
+        private RequestSource request; // null once the exchange has ended
         private final Body body;
         private final long timeoutMicros;
         private final ExchangeListener listener;
@@ -442,7 +388,7 @@
         private boolean sendStarted, requestWritten, ended, notExecuted;
         private long sendStartNanos, requestWrittenNanos;
 
-        private Exchange(BackendState backend, HttpRequest request, Body body, long timeoutMicros,
+        private Exchange(BackendState backend, RequestSource request, Body body, long timeoutMicros,
                          ExchangeListener listener) {
             this.backend = backend;
             this.request = request;
@@ -492,15 +438,16 @@
             connection.currentExchange = this;
             sendStarted = true;
             sendStartNanos = System.nanoTime();
+            HttpRequest message = request.create();
             if (body == null) {
                 // The connect may have taken long: the backend is given the time that is left now.
-                Headers.setTimeout(request,
+                Headers.setTimeout(message,
                     timeoutMicros - TimeUnit.NANOSECONDS.toMicros(sendStartNanos - createdAtNanos));
-                channel.writeAndFlush(ReferenceCountUtil.retain(request)).addListener(this::writeFinished);
+                channel.writeAndFlush(message).addListener(this::writeFinished);
                 return;
             }
-            Headers.setTimeout(request, remainingMicros);
-            channel.write(request).addListener(done -> {
+            Headers.setTimeout(message, remainingMicros);
+            channel.write(message).addListener(done -> {
                 if (!done.isSuccess()) {
                     writeFinished(done);
                 }
@@ -674,7 +621,8 @@
             if (outcome != Outcome.OK) {
                 counters.increment(Count.valueOf(outcome.name()));
             }
-            ReferenceCountUtil.release(request);
+            request.release();
+            request = null;
             stopTimer();
             if (body != null) {
                 body.detach(this);
@@ -704,6 +652,7 @@
         private ByteBuf bufferedBody;
         private Body streamedBody;
         private BufferLimit.FlowControl flowControl;
+        private Future<?> bufferingTimer; // while a response of unknown length is buffered
         private TransferMemory.Reservation reservation; // of memory for a response that is buffered whole
         private long idleSinceNanos, streamedBytes, reservedBytes;
         private boolean readInProgress;
@@ -749,13 +698,26 @@
                 passOnLong(HttpUtil.getContentLength(newHead, 0L));
             } else if (successful && !HttpUtil.isContentLengthSet(newHead)) {
                 // The length is unknown: the first bytes must not be held back for too long.
-                Exchange exchange = currentExchange;
-                eventLoop.schedule(() -> {
-                    if (currentExchange == exchange && responseHead == newHead && streamedBody == null
-                        && exchange.listener.answerMode() == AnswerMode.STREAMED) {
-                        startStreaming();
-                    }
-                }, exchange.timeoutMicros / BUFFERING_TIME_DIVISOR, TimeUnit.MICROSECONDS);
+                bufferingTimer = eventLoop.schedule(this::endBuffering,
+                    currentExchange.timeoutMicros / BUFFERING_TIME_DIVISOR, TimeUnit.MICROSECONDS);
+            }
+        }
+
+        private void endBuffering() {
+            if (streamedBody == null && currentExchange.listener.answerMode() == AnswerMode.STREAMED) {
+                startStreaming();
+            }
+        }
+
+        /** Lets go of the response at its end, whether or not it is complete. */
+        private void releaseResponse() {
+            currentExchange = null;
+            responseHead = null;
+            streamedBody = null;
+            releaseReservation();
+            if (bufferingTimer != null) {
+                bufferingTimer.cancel(false);
+                bufferingTimer = null;
             }
         }
 
@@ -897,10 +859,7 @@
         private void releaseConnection(ChannelHandlerContext context) {
             boolean reusable = HttpUtil.isKeepAlive(responseHead) && currentExchange.requestWritten
                 && backend.acceptsRequests && address.equals(backend.address);
-            currentExchange = null;
-            responseHead = null;
-            streamedBody = null;
-            releaseReservation();
+            releaseResponse();
             readInProgress = true;
             if (reusable) {
                 flowControl().stop();
@@ -963,9 +922,7 @@
         /** Ends a pending exchange at once, so that bytes read later cannot pass for its response. */
         private void abort(ChannelHandlerContext context) {
             Exchange exchange = currentExchange;
-            currentExchange = null;
-            responseHead = null;
-            releaseReservation();
+            releaseResponse();
             if (bufferedBody != null) {
                 bufferedBody.release();
                 bufferedBody = null;
--- a/proxy/src/main/java/dockrelay/proxy/RequestTable.java
+++ b/proxy/src/main/java/dockrelay/proxy/RequestTable.java
@@ -91,6 +91,9 @@
 
     /** Receives the single response to a request. */
     interface ResponseWriter {
+        /** The writer of a request whose client is not concerned with it any more. */
+        ResponseWriter DETACHED = FullHttpResponse::release;
+
         void respond(FullHttpResponse response);
 
         /**
@@ -139,10 +142,10 @@
     /** A request that is unanswered or still has attempts in flight. */
     private static final class Entry {
         final Request request;
-        final FullHttpRequest message;
+        private FullHttpRequest message; // null once the request is answered: no attempt begins any more
         final Body body; // of a streamed request, else null
         final Arrival arrival; // of a streamed request, else null
-        final ResponseWriter responseWriter;
+        ResponseWriter responseWriter; // a detached one once the request is answered
         long deadlineMicros;
         long receivedAtMicros, responseStartMicros; // received: when the client can have written the end
         OptionalLong readNanos = OptionalLong.empty(); // when the end of the request was read
@@ -157,6 +160,14 @@
             return attempts.stream().filter(Objects::nonNull).toList();
         }
 
+        /** Answered, or left by its client: attempts that still run need neither the message nor the client. */
+        void setAnswered() {
+            answered = true;
+            responseWriter = ResponseWriter.DETACHED;
+            message.release();
+            message = null;
+        }
+
         Entry(Request request, FullHttpRequest message, Body body, Arrival arrival,
               ResponseWriter responseWriter) {
             this.request = request;
@@ -424,9 +435,9 @@
         dispatch(null, () -> decisionModule.onBackendList(clockMicros.getAsLong(), updateType, backends));
     }
 
-    private static void respond(Entry entry, FullHttpResponse response) {
+    private static void respond(ResponseWriter responseWriter, FullHttpResponse response) {
         try {
-            entry.responseWriter.respond(response);
+            responseWriter.respond(response);
         } catch (RuntimeException e) {
             Log.error("client", e); // the request ends all the same
         }
@@ -440,12 +451,13 @@
             }
             return;
         }
-        entry.answered = true;
+        ResponseWriter responseWriter = entry.responseWriter;
+        entry.setAnswered();
         cancelTimer(entry);
         if (response != null) {
             counters.increment(resultCounter(response.status()));
             logEnd(entry, response.status());
-            respond(entry, response);
+            respond(responseWriter, response);
         }
         removeIfDone(entry);
     }
@@ -498,7 +510,6 @@
             if (entry.windowTimer != null) {
                 entry.windowTimer.cancel(false);
             }
-            entry.message.release();
             if (entry.body != null) {
                 entry.body.release();
             }
@@ -513,12 +524,13 @@
             body.discard();
             return;
         }
-        entry.answered = true;
+        ResponseWriter responseWriter = entry.responseWriter;
+        entry.setAnswered();
         cancelTimer(entry);
         entry.responseStartMicros = clockMicros.getAsLong();
         entry.streamingExchange = entry.attempts.get(attempt);
         counters.increment(Count.SERVED);
-        entry.responseWriter.beginStreaming(head, body);
+        responseWriter.beginStreaming(head, body);
         dispatch(entry, () -> decisionModule.onStreamStart(clockMicros.getAsLong(), entry.request.id(),
             attempt, backend, latency(entry, attempt, sentAtMicros, entry.responseStartMicros)));
         cancelUnsentAttempts(entry);
@@ -663,8 +675,8 @@
         entry.attempts.add(null);
         entry.openAttempts++;
         BackendConnectionPool.Exchange exchange = connectionPool.send(backend,
-            toBackendRequest(entry), entry.body, remainingMicros,
-            new BackendConnectionPool.ExchangeListener() {
+            () -> toBackendRequest(entry), entry.body, remainingMicros,
+            new ExchangeListener() {
                 @Override
                 public void onStreamStart(HttpResponse head, Body body) {
                     RequestTable.this.streamingStarted(entry, attempt, backend, nowMicros, head, body);
