Merge the short contents that one read has brought

Cause: a chunk of one byte became an object of a hundred bytes and more in the heap, which kept the whole buffer of the read besides; a body without a receiver could hold 2,700 of them beyond its bound in bytes, and each chunk that was forwarded became three entries of the output. Change: ContentMerger, behind the decoders of clients and backends, passes on what one read has brought in contents of up to 16 KB; contents of 1 KB and more are passed on as they are. How much of the peaks is due to this commit alone was not measured.

--- a/proxy/src/main/java/dockrelay/proxy/BackendConnectionPool.java
+++ b/proxy/src/main/java/dockrelay/proxy/BackendConnectionPool.java
@@ -143,7 +143,7 @@
                     // An abandoned request must not arrive later, nor one of a process that is killed.
                     ConnectionClose.resetWhenClosed(channel);
                     channel.pipeline().addLast(new ResponseDecoder(), new HttpRequestEncoder(),
-                        new BackendConnection());
+                        new ContentMerger(), new BackendConnection());
                 }
             });
         eventLoop.scheduleAtFixedRate(this::closeExpiredConnections, SWEEP_INTERVAL_MICROS,
--- a/proxy/src/main/java/dockrelay/proxy/ClientFrontend.java
+++ b/proxy/src/main/java/dockrelay/proxy/ClientFrontend.java
@@ -151,7 +151,7 @@
                     RequestTimeout requestTimeout = new RequestTimeout();
                     HeadMemory.ConnectionShare heads = headMemory.new ConnectionShare();
                     channel.pipeline().addLast(new InputObserver(input, heartbeat), requestTimeout,
-                        new HttpServerCodec(heads.decoderConfig()),
+                        new HttpServerCodec(heads.decoderConfig()), new ContentMerger(),
                         new ClientConnection(requestTimeout, heads, input));
                 }
             });
@@ -873,7 +873,7 @@
         private LingeringClose beginClose() {
             closing = true;
             LingeringClose close = new LingeringClose(channel, discardQueue, missingBytes());
-            close.replaceDecoder(HttpServerCodec.class);
+            close.replaceDecoder(HttpServerCodec.class, ContentMerger.class);
             releasePipelined();
             requestHead = null;
             latestHead = null;
--- a/proxy/src/main/java/dockrelay/proxy/LingeringClose.java
+++ b/proxy/src/main/java/dockrelay/proxy/LingeringClose.java
@@ -43,8 +43,11 @@
         this.missingBytes = missingBytes;
     }
 
-    /** Removes the decoder. */
-    void replaceDecoder(Class<? extends ChannelHandler> decoder) {
+    /** Removes the decoder, and the handler behind it that merges what it decodes. */
+    void replaceDecoder(Class<? extends ChannelHandler> decoder, Class<? extends ChannelHandler> merger) {
+        if (channel.pipeline().get(merger) != null) {
+            channel.pipeline().remove(merger);
+        }
         if (channel.pipeline().get(decoder) != null) {
             channel.pipeline().replace(decoder, null, this);
         }
