Count heads of answers and request targets with the memory of heads

Cause: the bound on heads counted the header lines of requests alone. Change: a connection to a backend has a share of the memory of heads, too; a quarter is kept for them. The target of a request is counted with its lines.

--- a/proxy/src/main/java/dockrelay/proxy/BackendConnectionPool.java
+++ b/proxy/src/main/java/dockrelay/proxy/BackendConnectionPool.java
@@ -117,14 +117,14 @@
      */
     BackendConnectionPool(Bootstrap template, EventLoop eventLoop, int maxConnections,
                           long connectTimeoutMicros, long connectionIdleMicros, Counters counters,
-                          BufferLimit bufferLimit) {
+                          BufferLimit bufferLimit, HeadMemory headMemory) {
         this(template, eventLoop, maxConnections, connectTimeoutMicros, connectionIdleMicros, counters,
-            bufferLimit, REUSE_DELAY_NANOS);
+            bufferLimit, headMemory, REUSE_DELAY_NANOS);
     }
 
     BackendConnectionPool(Bootstrap template, EventLoop eventLoop, int maxConnections,
                           long connectTimeoutMicros, long connectionIdleMicros, Counters counters,
-                          BufferLimit bufferLimit, long reuseDelayNanos) {
+                          BufferLimit bufferLimit, HeadMemory headMemory, long reuseDelayNanos) {
         this.reuseDelayNanos = reuseDelayNanos;
         this.bufferLimit = bufferLimit;
         this.eventLoop = eventLoop;
@@ -142,8 +142,9 @@
                 protected void initChannel(Channel channel) {
                     // An abandoned request must not arrive later, nor one of a process that is killed.
                     ConnectionClose.resetWhenClosed(channel);
-                    channel.pipeline().addLast(new ResponseDecoder(), new HttpRequestEncoder(),
-                        new ContentMerger(), new BackendConnection());
+                    HeadMemory.ConnectionShare heads = headMemory.backendShare();
+                    channel.pipeline().addLast(new ResponseDecoder(heads.decoderConfig()),
+                        new HttpRequestEncoder(), new ContentMerger(), new BackendConnection(heads));
                 }
             });
         eventLoop.scheduleAtFixedRate(this::closeExpiredConnections, SWEEP_INTERVAL_MICROS,
@@ -644,6 +645,7 @@
     /** A connection to a backend, with at most one exchange at a time. */
     private final class BackendConnection extends SimpleChannelInboundHandler<HttpObject>
         implements Body.Source {
+        private final HeadMemory.ConnectionShare heads;
         private Channel channel;
         private BackendState backend;
         private SocketAddress address;
@@ -657,8 +659,9 @@
         private long idleSinceNanos, streamedBytes, reservedBytes;
         private boolean readInProgress;
 
-        BackendConnection() {
+        BackendConnection(HeadMemory.ConnectionShare heads) {
             super(false);
+            this.heads = heads;
         }
 
         @Override
@@ -712,6 +715,7 @@
         /** Lets go of the response at its end, whether or not it is complete. */
         private void releaseResponse() {
             currentExchange = null;
+            heads.release(responseHead);
             responseHead = null;
             streamedBody = null;
             releaseReservation();
@@ -797,11 +801,15 @@
 
         private void handleContent(ChannelHandlerContext context, HttpContent content) {
             boolean isLast = content instanceof LastHttpContent;
+            heads.release(content); // trailers are not forwarded
             if (responseHead == null) {
                 content.release();
             } else if (responseHead.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
                 content.release();
-                responseHead = isLast ? null : responseHead; // the final response is still to come
+                if (isLast) {
+                    heads.release(responseHead);
+                    responseHead = null; // the final response is still to come
+                }
             } else if (streamedBody != null) {
                 Body body = streamedBody;
                 streamedBytes += content.content().readableBytes();
@@ -917,6 +925,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             abort(context);
+            heads.close();
         }
 
         /** Ends a pending exchange at once, so that bytes read later cannot pass for its response. */
--- a/proxy/src/main/java/dockrelay/proxy/BoundedHeaders.java
+++ b/proxy/src/main/java/dockrelay/proxy/BoundedHeaders.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import java.util.function.IntConsumer;
@@ -62,6 +63,15 @@
         return headers instanceof BoundedHeaders bounded ? bounded.sizeInBytes : 0;
     }
 
+    /** Counts the target of a request with its headers; the callback may throw. */
+    static void addTarget(HttpRequest request) {
+        if (request.headers() instanceof BoundedHeaders bounded) {
+            int bytes = request.uri().length();
+            bounded.onGrowth.accept(bytes);
+            bounded.sizeInBytes += bytes;
+        }
+    }
+
     @Override
     public HttpHeaders add(CharSequence name, Object value) {
         if (lineCount == MAX_LINES) {
--- a/proxy/src/main/java/dockrelay/proxy/ClientFrontend.java
+++ b/proxy/src/main/java/dockrelay/proxy/ClientFrontend.java
@@ -18,6 +18,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.SocketChannelConfig;
 import io.netty.handler.codec.CodecException;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -149,7 +150,7 @@
                 protected void initChannel(Channel channel) {
                     ClientInput input = new ClientInput(System.nanoTime());
                     RequestTimeout requestTimeout = new RequestTimeout();
-                    HeadMemory.ConnectionShare heads = headMemory.new ConnectionShare();
+                    HeadMemory.ConnectionShare heads = headMemory.clientShare();
                     channel.pipeline().addLast(new InputObserver(input, heartbeat), requestTimeout,
                         new HttpServerCodec(heads.decoderConfig()), new ContentMerger(),
                         new ClientConnection(requestTimeout, heads, input));
@@ -463,13 +464,26 @@
         protected void channelRead0(ChannelHandlerContext context, HttpObject httpObject) {
             if (closing) {
                 drop(httpObject);
-            } else if (inFlightId != null && upload == null) {
+                return;
+            }
+            if (httpObject instanceof HttpRequest newHead) {
+                countTarget(newHead);
+            }
+            if (inFlightId != null && upload == null) {
                 queuePipelined(httpObject);
             } else {
                 handle(httpObject);
             }
         }
 
+        private static void countTarget(HttpRequest newHead) {
+            try {
+                BoundedHeaders.addTarget(newHead);
+            } catch (HeadMemoryExhaustedException e) {
+                newHead.setDecoderResult(DecoderResult.failure(e)); // rejected as a head that doesn't fit
+            }
+        }
+
         /**
          * Queues pipelined data until the request in flight is answered. It is read nevertheless, because
          * only reading reveals that the client has closed the connection. Data beyond the bound is discarded.
--- a/proxy/src/main/java/dockrelay/proxy/HeadMemory.java
+++ b/proxy/src/main/java/dockrelay/proxy/HeadMemory.java
@@ -4,15 +4,15 @@
 import io.netty.handler.codec.http.HttpObject;
 
 /**
- * Limits the heap memory of all request heads and trailers that are being received, wait behind a request in
- * flight or belong to one. All on the event loop's thread.
+ * Limits the heap memory of all heads and trailers: of requests that are being received, wait behind a request
+ * in flight or belong to one, and of responses until they have been passed on. All on the event loop's thread.
  *
  * <p>Invariant: the memory in use is the sum over all open connections of what each of them has in use, and
  * a connection that holds no request has nothing in use.
  */
 final class HeadMemory {
-    /** Heads may use the heap divided by this number. */
-    private static final int HEAP_DIVISOR = 4;
+    /** Heads of clients may use this part of the limit: the rest is for those of the answers to them. */
+    private static final double CLIENT_SHARE = 0.75;
 
     private final long limitBytes;
     private long usedBytes;
@@ -21,9 +21,14 @@
         this.limitBytes = limitBytes;
     }
 
-    /** A limit derived from the largest heap that this process may have. */
-    static HeadMemory ofHeap() {
-        return new HeadMemory(Runtime.getRuntime().maxMemory() / HEAP_DIVISOR);
+    /** The share of a client's connection. */
+    ConnectionShare clientShare() {
+        return new ConnectionShare((long) (limitBytes * CLIENT_SHARE));
+    }
+
+    /** The share of a connection to a backend. */
+    ConnectionShare backendShare() {
+        return new ConnectionShare(limitBytes);
     }
 
     /** The estimated memory in use, in bytes. */
@@ -33,9 +38,14 @@
 
     /** The part of the memory that one connection uses. */
     final class ConnectionShare {
+        private final long maxUsedBytes; // by all connections, before this one takes more
         private long shareBytes;
         private boolean closed;
 
+        private ConnectionShare(long maxUsedBytes) {
+            this.maxUsedBytes = maxUsedBytes;
+        }
+
         /** The configuration of the connection's decoder, which reserves memory for each line. */
         HttpDecoderConfig decoderConfig() {
             return BoundedHeaders.decoderConfig(this::reserve);
@@ -45,13 +55,18 @@
             if (closed) {
                 return; // the connection's last bytes are decoded as it ends
             }
-            if (usedBytes + bytes > limitBytes) {
-                throw new HeadMemoryExhaustedException(limitBytes);
+            if (usedBytes + bytes > maxUsedBytes) {
+                throw new HeadMemoryExhaustedException(maxUsedBytes);
             }
             shareBytes += bytes;
             usedBytes += bytes;
         }
 
+        /** The estimated memory that this connection uses, in bytes. */
+        long usedBytes() {
+            return shareBytes;
+        }
+
         /** Releases the memory of a head or trailer that is no longer referred to. */
         void release(HttpObject httpObject) {
             release(BoundedHeaders.sizeInBytes(httpObject));
--- a/proxy/src/main/java/dockrelay/proxy/PipelineQueue.java
+++ b/proxy/src/main/java/dockrelay/proxy/PipelineQueue.java
@@ -2,14 +2,13 @@
 
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpRequest;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.Consumer;
 
 /** What a client has sent behind its request in flight, in order, with the memory that it takes. */
 final class PipelineQueue {
-    /** Memory of a queued object in addition to its headers, target and content. */
+    /** Memory of a queued object in addition to its headers with its target, and its content. */
     private static final int OBJECT_OVERHEAD_BYTES = 256;
 
     private final Deque<HttpObject> objects = new ArrayDeque<>();
@@ -44,9 +43,8 @@
     }
 
     private static int sizeInBytes(HttpObject httpObject) {
-        int targetLength = httpObject instanceof HttpRequest request ? request.uri().length() : 0;
         int contentLength =
             httpObject instanceof HttpContent content ? content.content().readableBytes() : 0;
-        return OBJECT_OVERHEAD_BYTES + BoundedHeaders.sizeInBytes(httpObject) + targetLength + contentLength;
+        return OBJECT_OVERHEAD_BYTES + BoundedHeaders.sizeInBytes(httpObject) + contentLength;
     }
 }
--- a/proxy/src/main/java/dockrelay/proxy/Proxy.java
+++ b/proxy/src/main/java/dockrelay/proxy/Proxy.java
@@ -56,6 +56,8 @@
      * first instruction, even if discovery is down; then it serves by the cached list.
      */
     private static final long PUSHED_LIST_UPGRADE_TIMEOUT_MILLIS = 3_000, READY_DEADLINE_MILLIS = 8_500;
+    /** Heads may use the heap divided by this number. */
+    private static final int HEAD_MEMORY_DIVISOR = 4;
     private static final long COUNTERS_INTERVAL_MILLIS = 5_000;
     /** Interval of the check for lateness: any other event waits for the event loop as long as this check. */
     private static final long LATENESS_CHECK_INTERVAL_MILLIS = 50;
@@ -113,14 +115,14 @@
             .option(ChannelOption.ALLOCATOR, allocator).option(ChannelOption.TCP_NODELAY, true);
         maxConnections = Math.max(2, config.maxSockets() - RESERVED_DESCRIPTORS);
         int maxClientConnections = Math.max(1, (int) (maxConnections * CLIENT_CONNECTION_SHARE));
-        HeadMemory headMemory = HeadMemory.ofHeap();
+        HeadMemory headMemory = new HeadMemory(Runtime.getRuntime().maxMemory() / HEAD_MEMORY_DIVISOR);
         BufferLimit bufferLimit = BufferLimit.forAllocator(allocator, config.memoryMegabytes());
         counters.registerGauge("direct-kb", () -> allocator.metric().usedDirectMemory() >> 10);
         counters.registerGauge("live-direct-kb", () -> allocator.pinnedDirectMemory() >> 10);
         counters.registerGauge("read-ahead-kb", () -> bufferLimit.memory().reservedBytes() >> 10);
         connectionPool = new BackendConnectionPool(clientBootstrap, eventLoop,
             maxConnections - maxClientConnections, config.connectTimeoutMicros(),
-            config.connectionIdleMicros(), counters, bufferLimit);
+            config.connectionIdleMicros(), counters, bufferLimit, headMemory);
         requestTable = new RequestTable(eventLoop, connectionPool, clock, config, counters);
         operatorOverrides = new OperatorOverrides(environment.consoleAddress() == null ? null
             : environment.stateFolder());
--- a/proxy/src/main/java/dockrelay/proxy/ResponseDecoder.java
+++ b/proxy/src/main/java/dockrelay/proxy/ResponseDecoder.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
@@ -24,7 +25,12 @@
     private boolean informational;
 
     ResponseDecoder() {
-        super(BoundedHeaders.decoderConfig());
+        this(BoundedHeaders.decoderConfig());
+    }
+
+    /** A decoder whose messages have bounded headers. */
+    ResponseDecoder(HttpDecoderConfig config) {
+        super(config);
     }
 
     @Override
--- a/proxy/src/main/java/dockrelay/proxy/WarmUp.java
+++ b/proxy/src/main/java/dockrelay/proxy/WarmUp.java
@@ -183,9 +183,10 @@
             .option(ChannelOption.ALLOCATOR, allocator);
         Counters counters = new Counters();
         BufferLimit bufferLimit = new BufferLimit(() -> 0, config.memoryMegabytes());
+        HeadMemory headMemory = new HeadMemory(Runtime.getRuntime().maxMemory());
         BackendConnectionPool pool = new BackendConnectionPool(bootstrap, eventLoop,
             BACKEND_COUNT * CLIENT_COUNT, CONNECTION_TIMEOUT_MICROS, CONNECTION_TIMEOUT_MICROS, counters,
-            bufferLimit);
+            bufferLimit, headMemory);
         RequestTable table = new RequestTable(eventLoop, pool, clock, config, counters);
         table.disableRequestLog();
         table.attachBalancer(new RiqBalancer(config.settings(), config.seed(), table), () -> { },
@@ -202,7 +203,7 @@
             new ServerBootstrap().group(eventLoop).channel(transport.serverChannelClass)
             .childOption(ChannelOption.ALLOCATOR, allocator);
         ClientFrontend frontend = new ClientFrontend(table, config.settings().classes(), CLIENT_COUNT * 2,
-            () -> true, counters, bufferLimit, HeadMemory.ofHeap());
+            () -> true, counters, bufferLimit, headMemory);
         frontend.listen(serverBootstrap, transport.proxyAddress).addListener(this::listenerBound);
         clientBootstrap = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
--- a/proxy/src/test/java/dockrelay/proxy/ProxyProcess.java
+++ b/proxy/src/test/java/dockrelay/proxy/ProxyProcess.java
@@ -155,6 +155,10 @@
         return process.exitValue();
     }
 
+    long pid() {
+        return process.pid();
+    }
+
     boolean isAlive() {
         return process.isAlive();
     }
