Keep the whole process within the memory that its settings grant

Operators saw processes pass limits.memory_mb and be killed. Cause: heap, direct memory, classes, code and stacks were bounded each by itself, and only direct memory followed the setting; a heap of 64 MB was touched whole, as the runtime collects old garbage only once all of it is used. Connections and the heads behind them were bounded by descriptors and by the heap, never by the grant. Change: MemoryPlan divides the grant among runtime, buffers and heap, and derives the number of connections and the memory of heads from it. The log tells held-kb (the estimate), live-heap-mb, gc-pause-ms, resident-mb and grant-mb; a grant below what the runtime needs (88 MB) is told at the start. HeldHeapTest compares the estimate with the live heap of a real process. MemoryPlanTest and HeapGuardTest pass.

--- a/proxy/src/main/java/dockrelay/proxy/BoundedHeaders.java
+++ b/proxy/src/main/java/dockrelay/proxy/BoundedHeaders.java
@@ -1,5 +1,6 @@
 package dockrelay.proxy;
 
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -63,12 +64,16 @@
         return headers instanceof BoundedHeaders bounded ? bounded.sizeInBytes : 0;
     }
 
-    /** Counts the target of a request with its headers; the callback may throw. */
-    static void addTarget(HttpRequest request) {
+    /** Counts the target of a request with its headers; marks the request as failed if it doesn't fit. */
+    static void countTarget(HttpRequest request) {
         if (request.headers() instanceof BoundedHeaders bounded) {
             int bytes = request.uri().length();
-            bounded.onGrowth.accept(bytes);
-            bounded.sizeInBytes += bytes;
+            try {
+                bounded.onGrowth.accept(bytes);
+                bounded.sizeInBytes += bytes;
+            } catch (HeadMemoryExhaustedException e) {
+                request.setDecoderResult(DecoderResult.failure(e));
+            }
         }
     }
 
--- a/proxy/src/main/java/dockrelay/proxy/BufferLimit.java
+++ b/proxy/src/main/java/dockrelay/proxy/BufferLimit.java
@@ -21,11 +21,6 @@
  * event loop's thread.
  */
 final class BufferLimit {
-    /** Buffers may use the memory limit divided by this number; the Java runtime needs most of the rest. */
-    private static final int MEMORY_DIVISOR = 8;
-    private static final long BYTES_PER_MEGABYTE = 1 << 20;
-    /** Stays below the runtime's limit on direct memory (32 MB), beyond which allocating a buffer fails. */
-    private static final long MAX_BUFFER_MEGABYTES = 24;
     private static final int MIN_READ_BYTES = 64, INITIAL_READ_BYTES = 2_048;
     static final int MAX_READ_BYTES = 16 * 1024;
     static final int MAX_BUFFERED_MESSAGE_BYTES = 64 * 1024;
@@ -44,9 +39,7 @@
     }
 
     private BufferLimit(LongSupplier usedBytes, LongSupplier liveBytes, int memoryMegabytes) {
-        memory = new TransferMemory(usedBytes, liveBytes,
-            Math.min(MAX_BUFFER_MEGABYTES, Math.max(1, memoryMegabytes / MEMORY_DIVISOR))
-                * BYTES_PER_MEGABYTE);
+        memory = new TransferMemory(usedBytes, liveBytes, MemoryPlan.bufferBytes(memoryMegabytes));
     }
 
     /** A limit on the direct memory that an allocator has reserved in chunks, whether or not it is filled. */
--- a/proxy/src/main/java/dockrelay/proxy/ClientFrontend.java
+++ b/proxy/src/main/java/dockrelay/proxy/ClientFrontend.java
@@ -18,7 +18,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.SocketChannelConfig;
 import io.netty.handler.codec.CodecException;
-import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -42,6 +41,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
@@ -106,7 +106,7 @@
     private final LoopHeartbeat heartbeat = new LoopHeartbeat();
     private DiscardQueue discardQueue;
     private Channel listener;
-    private boolean evictionScheduled;
+    private boolean evictionScheduled, underMemoryPressure;
     private DrainPolicy drainPolicy; // null until this process is asked to stop
     private int acceptPauses; // times accepting was paused at the connection limit
     private Runnable allClosedAction;
@@ -256,7 +256,7 @@
      */
     private void enforceConnectionLimit() {
         adjustAcceptBatch();
-        boolean hasRoom = connections.size() < maxConnections;
+        boolean hasRoom = connections.size() < maxConnections && !underMemoryPressure;
         if (listener == null || !listener.isRegistered()) {
             return; // this process does not own the listener yet, or has released it
         }
@@ -270,6 +270,24 @@
         }
     }
 
+    /**
+     * Called at each check of the memory. Under pressure no connections are accepted, and those that hold
+     * most of the heap without a request in flight are closed.
+     */
+    void setUnderMemoryPressure(boolean pressure) {
+        if (pressure || underMemoryPressure) {
+            underMemoryPressure = pressure;
+            enforceConnectionLimit();
+        }
+        if (pressure) {
+            List<ClientConnection> largestFirst = connections.stream()
+                .filter(each -> each.hasNoRequestInFlight() && each.heads.usedBytes() > 0)
+                .sorted(Comparator.comparingLong(each -> -each.heads.usedBytes())).toList();
+            int count = Math.max(1, connections.size() / EVICTION_DIVISOR);
+            largestFirst.stream().limit(count).forEach(each -> each.closeForMemory());
+        }
+    }
+
     /** A connection that waits to be accepted is read late, but its client counts from its own send. */
     private void adjustAcceptBatch() {
         int room = maxConnections - connections.size();
@@ -467,7 +485,7 @@
                 return;
             }
             if (httpObject instanceof HttpRequest newHead) {
-                countTarget(newHead);
+                BoundedHeaders.countTarget(newHead);
             }
             if (inFlightId != null && upload == null) {
                 queuePipelined(httpObject);
@@ -476,14 +494,6 @@
             }
         }
 
-        private static void countTarget(HttpRequest newHead) {
-            try {
-                BoundedHeaders.addTarget(newHead);
-            } catch (HeadMemoryExhaustedException e) {
-                newHead.setDecoderResult(DecoderResult.failure(e)); // rejected as a head that doesn't fit
-            }
-        }
-
         /**
          * Queues pipelined data until the request in flight is answered. It is read nevertheless, because
          * only reading reveals that the client has closed the connection. Data beyond the bound is discarded.
@@ -726,6 +736,12 @@
                 : drainPolicy.timeBudgetMicros(requestedMicros, System.nanoTime());
         }
 
+        private void closeForMemory() {
+            counters.increment(Count.CLOSED_FOR_MEMORY);
+            logClose("memory is short, and this connection holds " + heads.usedBytes() + " bytes of heads");
+            closeGracefully(true);
+        }
+
         /** Whether every byte that was read belongs to a request that has been answered. */
         private boolean isIdle() {
             return inFlightId == null && requestHead == null && pipeline.isEmpty() && !closing;
--- a/proxy/src/main/java/dockrelay/proxy/Counters.java
+++ b/proxy/src/main/java/dockrelay/proxy/Counters.java
@@ -24,8 +24,8 @@
         LATE,
         /** Responses that closed the client's connection because most connections were in use. */
         CROWDED,
-        /** Client connections closed to make room for others. */
-        EVICTED,
+        /** Client connections closed to make room for others, or as the heap was nearly full. */
+        EVICTED, CLOSED_FOR_MEMORY,
         /**
          * Requests passed to the balancer, and how they ended; GONE if the client closed its connection
          * first.
--- a/proxy/src/main/java/dockrelay/proxy/HeadMemory.java
+++ b/proxy/src/main/java/dockrelay/proxy/HeadMemory.java
@@ -4,8 +4,9 @@
 import io.netty.handler.codec.http.HttpObject;
 
 /**
- * Limits the heap memory of all heads and trailers: of requests that are being received, wait behind a request
- * in flight or belong to one, and of responses until they have been passed on. All on the event loop's thread.
+ * Limits the heap memory of all heads and trailers: of requests that are being received, wait behind a
+ * request in flight or belong to one, and of responses until they have been passed on. All on the event
+ * loop's thread.
  *
  * <p>Invariant: the memory in use is the sum over all open connections of what each of them has in use, and
  * a connection that holds no request has nothing in use.
--- a/proxy/src/main/java/dockrelay/proxy/Proxy.java
+++ b/proxy/src/main/java/dockrelay/proxy/Proxy.java
@@ -56,9 +56,8 @@
      * first instruction, even if discovery is down; then it serves by the cached list.
      */
     private static final long PUSHED_LIST_UPGRADE_TIMEOUT_MILLIS = 3_000, READY_DEADLINE_MILLIS = 8_500;
-    /** Heads may use the heap divided by this number. */
-    private static final int HEAD_MEMORY_DIVISOR = 4;
     private static final long COUNTERS_INTERVAL_MILLIS = 5_000;
+    private static final long HEAP_CHECK_INTERVAL_MILLIS = 20;
     /** Interval of the check for lateness: any other event waits for the event loop as long as this check. */
     private static final long LATENESS_CHECK_INTERVAL_MILLIS = 50;
     /** Longer than any request may take: whatever has not finished by then never will. */
@@ -89,6 +88,7 @@
     private volatile boolean accepting, stopping;
     private volatile boolean otherProcessRunning; // set by the console's thread
     private volatile int openConnections;
+    private final MemoryPlan memoryPlan;
     private final int maxConnections;
     private final boolean listenerInherited;
     private final long longestDeadlineMicros;
@@ -113,9 +113,11 @@
         PooledByteBufAllocator allocator = new PooledByteBufAllocator(true, 1, 1, 8192, 5, 256, 64, false);
         Bootstrap clientBootstrap = new Bootstrap().group(eventLoop).channel(NioSocketChannel.class)
             .option(ChannelOption.ALLOCATOR, allocator).option(ChannelOption.TCP_NODELAY, true);
-        maxConnections = Math.max(2, config.maxSockets() - RESERVED_DESCRIPTORS);
+        memoryPlan = MemoryPlan.of(config.memoryMegabytes(), config.maxSockets() - RESERVED_DESCRIPTORS,
+            Runtime.getRuntime().maxMemory());
+        maxConnections = memoryPlan.maxConnections();
         int maxClientConnections = Math.max(1, (int) (maxConnections * CLIENT_CONNECTION_SHARE));
-        HeadMemory headMemory = new HeadMemory(Runtime.getRuntime().maxMemory() / HEAD_MEMORY_DIVISOR);
+        HeadMemory headMemory = new HeadMemory(memoryPlan.headBytes());
         BufferLimit bufferLimit = BufferLimit.forAllocator(allocator, config.memoryMegabytes());
         counters.registerGauge("direct-kb", () -> allocator.metric().usedDirectMemory() >> 10);
         counters.registerGauge("live-direct-kb", () -> allocator.pinnedDirectMemory() >> 10);
@@ -189,6 +191,37 @@
             + (listenerInherited ? ", inherited socket" : ""));
     }
 
+    /** Keeps the heap of this process within the plan; not for a proxy that shares its process. */
+    private void guardHeap() {
+        if (memoryPlan.exceedsGrant()) {
+            Log.write("memory", "limits.memory_mb is " + memoryPlan.grantMegabytes()
+                + ", but this runtime needs " + MemoryPlan.leastGrantMegabytes()
+                + " MB under load; holding as little as possible");
+        }
+        HeldHeap heldHeap = new HeldHeap(
+            () -> clientFrontend.connectionCount() + connectionPool.connectionCount(),
+            clientFrontend::usedHeadBytes, requestTable::inFlightCount, requestTable::rememberedIdCount);
+        counters.registerGauge("held-kb", () -> heldHeap.bytes() >> 10);
+        HeapGuard guard = new HeapGuard(HeapGuard.Heap.ofProcess(), memoryPlan, heldHeap::bytes,
+            this::describeHeldMemory);
+        counters.registerGauge("live-heap-mb", () -> guard.liveBytes() >> 20);
+        counters.registerGauge("gc-pause-ms", guard::takeLongestPauseMillis);
+        counters.registerGauge("resident-mb", ResidentMemory::megabytes);
+        counters.registerGauge("grant-mb", memoryPlan::grantMegabytes);
+        guard.start(Runtime.getRuntime().maxMemory(), System.nanoTime());
+        eventLoop.scheduleWithFixedDelay(() -> {
+            guard.check(System.nanoTime());
+            clientFrontend.setUnderMemoryPressure(guard.isUnderPressure());
+        }, HEAP_CHECK_INTERVAL_MILLIS, HEAP_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** What clients and backends make this process hold in its heap, for the log. */
+    private String describeHeldMemory() {
+        return "clients=" + clientFrontend.connectionCount() + " backend-connections="
+            + connectionPool.connectionCount() + " in-hand=" + requestTable.inFlightCount() + " head-kb="
+            + (clientFrontend.usedHeadBytes() >> 10) + " resident-mb=" + ResidentMemory.megabytes();
+    }
+
     /**
      * Waits for the first list, to avoid serving clients by an outdated list while the predecessor has a
      * newer one.
@@ -242,8 +275,10 @@
             Path file = Path.of(configPath);
             Signals.onHangUp(() -> startedProxy.thenAccept(proxy -> proxy.reload(file)));
             Config config = Config.read(file);
-            startedProxy.complete(new Proxy(config, ProcessEnvironment.read(config, System.getenv()),
-                PROCESS_START_NANOS, listenDecided));
+            Proxy proxy = new Proxy(config, ProcessEnvironment.read(config, System.getenv()),
+                PROCESS_START_NANOS, listenDecided);
+            proxy.eventLoop.execute(proxy::guardHeap);
+            startedProxy.complete(proxy);
         } catch (StoppedBeforeListeningException e) {
             return; // the shutdown thread ends the process
         } catch (ConfigException | SettingException e) {
--- a/proxy/src/main/java/dockrelay/proxy/RequestTable.java
+++ b/proxy/src/main/java/dockrelay/proxy/RequestTable.java
@@ -160,7 +160,7 @@
             return attempts.stream().filter(Objects::nonNull).toList();
         }
 
-        /** Answered, or left by its client: attempts that still run need neither the message nor the client. */
+        /** Answered, or left by its client: attempts that still run need neither message nor client. */
         void setAnswered() {
             answered = true;
             responseWriter = ResponseWriter.DETACHED;
@@ -258,6 +258,11 @@
         return entries.size();
     }
 
+    /** The number of ids that are remembered of requests whose clients have left. */
+    int rememberedIdCount() {
+        return abandonedRequests.size();
+    }
+
     /** Runs the action once, when no request is in flight any more. */
     void whenEmpty(Runnable action) {
         emptyAction = action;
