Let the half head of MemoryPressureTest be read before the other request

The test took the memory of the served client's head, which the event loop releases just after its answer was written, for that of the half head, and called for relief before the half head had been read. Change: the half head is sent and awaited first; the test is as strict as before and runs ten times over.

--- a/proxy/src/test/java/dockrelay/proxy/MemoryPressureTest.java
+++ b/proxy/src/test/java/dockrelay/proxy/MemoryPressureTest.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 
 /** The process took new clients until its heap was full. */
@@ -25,6 +26,7 @@
     private static final String HEALTH_REQUEST = "GET /healthz HTTP/1.1\r\nHost: app\r\n\r\n";
     private static final String HALF_HEAD = "GET /healthz HTTP/1.1\r\nHost: app\r\nx-own: some value\r\n";
     private static final long LIMIT_BYTES = 1 << 20;
+    private static final int REPETITIONS = 10;
     private static final int MAX_CONNECTIONS = 10, SHORT_WAIT_MILLIS = 200, LONG_WAIT_MILLIS = 10_000;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -65,12 +67,12 @@
         }
     }
 
-    @Test
+    @RepeatedTest(REPETITIONS)
     void connectionThatHoldsMemoryIsClosedAndIdleOneIsNot() throws IOException {
         try (FakeClient halfHead = connect(LONG_WAIT_MILLIS); FakeClient served = connect(LONG_WAIT_MILLIS)) {
-            assertEquals(200, served.send(HEALTH_REQUEST).readStatus());
-            halfHead.send(HALF_HEAD);
+            halfHead.send(HALF_HEAD); // before the other one, whose head takes memory for a moment, too
             Fakes.await("the half head to be read", () -> headMemory.usedBytes() > 0);
+            assertEquals(200, served.send(HEALTH_REQUEST).readStatus());
             setPressure(true);
             assertEquals(0, halfHead.readStatus(), "closed without an answer");
             Fakes.await("its memory to be released", () -> headMemory.usedBytes() == 0);
